Lay out the workspace, the design page and the base of the core library

Cause: the packages need one build, one set of pins and shared types before they can be written side by side.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks; each module is one table of docs/measurements.md."""
--- /dev/null
+++ b/packages/core/src/dragonflyslip_core/profiles.py
@@ -0,0 +1,82 @@
+"""Profiles and services as the decisions use them."""
+
+import dataclasses
+import typing
+
+from dragonflyslip_core import models
+
+
+@dataclasses.dataclass(frozen=True)
+class Profile:
+    """Named treatment of traffic; units as in :class:`models.ProfileModel`.
+
+    Instances come from :meth:`from_model`, so every value is within bounds.
+    """
+
+    name: str
+    deadline_ms: int
+    progress_timeout_ms: int
+    connect_timeout_ms: int
+    max_attempts: int
+    retry_budget_percent: float
+    retry_delay_ms: int
+    hedge_after_ms: int
+    hedge_budget_percent: float
+    at_most_once_methods: tuple[str, ...]
+    missing_key: typing.Literal['refuse', 'run_once']
+    key_lifetime_s: int
+    slots: int
+    cold_concurrency: int
+    warmup_s: float
+    max_connections_per_target: int
+    queue_limit: int
+    priority: int
+    probe_rate_per_target: float
+    probe_rate_fleet: float
+    probe_bytes_per_s: int
+    idle_connection_s: float
+    domain_spill_percent: float
+    min_healthy_percent: float
+    when_unhealthy: typing.Literal['spread', 'refuse']
+    suspicion_ttl_s: int
+
+    @classmethod
+    def from_model(cls, name: str, model: models.ProfileModel) -> 'Profile':
+        """Return the profile that a validated model describes.
+
+        >>> Profile.from_model('fast', models.ProfileModel()).slots
+        6
+        """
+        return cls(name=name, **model.model_dump())
+
+
+@dataclasses.dataclass(frozen=True)
+class Service:
+    """A service, the name of its profile, and the hosts that select it."""
+
+    name: str
+    profile: str
+    hosts: tuple[str, ...] = ()
+
+    @classmethod
+    def from_model(cls, name: str, model: models.ServiceModel) -> 'Service':
+        """Return the service that a validated model describes."""
+        return cls(name=name, profile=model.profile, hosts=model.hosts)
+
+
+# Six slots and impatient callers: a late status response keeps a family on
+# the phone. Two slots and patient callers: uploads last minutes, and a
+# cold target of two slots has little to spare.
+PRESETS: dict[str, models.ProfileModel] = {
+    'stairlift': models.ProfileModel(
+        deadline_ms=5_000, slots=6, hedge_after_ms=150, max_attempts=2
+    ),
+    'kauri': models.ProfileModel(
+        deadline_ms=30_000,
+        slots=2,
+        progress_timeout_ms=60_000,
+        warmup_s=20.0,
+        queue_limit=500,
+        max_attempts=3,
+    ),
+}
--- /dev/null
+++ b/packages/entry/src/dragonflyslip_entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry daemon."""
--- /dev/null
+++ b/packages/operator/src/dragonflyslip_operator/__init__.py
@@ -0,0 +1,1 @@
+"""The operator command line."""
--- /dev/null
+++ b/packages/platform/src/dragonflyslip_platform/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the log service and the instance list."""
--- /dev/null
+++ b/packages/testing/src/dragonflyslip_testing/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform and for targets."""
--- /dev/null
+++ b/packages/wire/src/dragonflyslip_wire/__init__.py
@@ -0,0 +1,1 @@
+"""Protocol between entry instances."""
