Add clients and stand-ins for the log service and the instance list

Cause: configuration and claims live on the platform's log, whose responses can be lost after the append took effect; a client that reports such an append as failed would have it counted twice or dropped.

Change: append results tell 'not done' from 'uncertain'; a page names the head, so that a reader knows when it reached the end. The stand-ins and the HTTP clients pass the same contract tests, with faults switched on.

--- /dev/null
+++ b/packages/platform/src/dragonflyslip_platform/instances.py
@@ -0,0 +1,125 @@
+"""The platform's lagging list of live and leaving instances."""
+
+import asyncio
+import dataclasses
+import typing
+
+import aiohttp
+import pydantic
+from returns import result
+
+from dragonflyslip_core import targets
+from dragonflyslip_platform import errors
+
+Kind = typing.Literal['target', 'entry']
+
+
+@dataclasses.dataclass(frozen=True)
+class ListedInstance:
+    """One row of the list.
+
+    :param instance_id: name of the instance, unique in the list.
+    :param service: the target's service; empty for an entry.
+    :param address: IP number.
+    :param port: the target's HTTP port, or the entry's peer port.
+    """
+
+    instance_id: str
+    kind: Kind
+    service: str
+    address: str
+    port: int
+    failure_domain: str
+    state: targets.InstanceState
+
+    def to_target(self) -> targets.Target:
+        """Return the target that this row describes."""
+        return targets.Target(
+            self.instance_id,
+            self.service,
+            self.address,
+            self.port,
+            self.failure_domain,
+            self.state,
+        )
+
+
+ListResult = result.Result[tuple[ListedInstance, ...], errors.PlatformError]
+
+
+class InstanceList(typing.Protocol):
+    """What the system needs of the instance list."""
+
+    async def list_instances(self) -> ListResult:
+        """Return all instances that the list shows; it may lag."""
+
+
+class _InstanceModel(pydantic.BaseModel):
+    instance_id: str = pydantic.Field(min_length=1, max_length=200)
+    kind: Kind
+    service: str = ''
+    address: pydantic.IPvAnyAddress
+    port: int = pydantic.Field(ge=1, le=65_535)
+    failure_domain: str = pydantic.Field(min_length=1, max_length=200)
+    state: targets.InstanceState
+
+    def to_instance(self) -> ListedInstance:
+        return ListedInstance(
+            self.instance_id,
+            self.kind,
+            self.service,
+            str(self.address),
+            self.port,
+            self.failure_domain,
+            self.state,
+        )
+
+
+_INSTANCES = pydantic.TypeAdapter(list[_InstanceModel])
+
+
+class HttpInstanceList:
+    """Client of the instance list over HTTP.
+
+    :param session: the HTTP session; its owner closes it.
+    :param base_url: such as ``http://10.0.0.6:7001``.
+    :param timeout_s: seconds until a request counts as lost.
+    """
+
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        base_url: str,
+        timeout_s: float = 2.0,
+    ):
+        self.session = session
+        self.base_url = base_url.rstrip('/')
+        self.timeout_s = timeout_s
+
+    async def list_instances(self) -> ListResult:
+        """Return all rows; an invalid row makes the whole list invalid.
+
+        A list that is used in part could drop half of the targets.
+        """
+        timeout = aiohttp.ClientTimeout(total=self.timeout_s)
+        try:
+            async with self.session.get(
+                f'{self.base_url}/instances', timeout=timeout
+            ) as response:
+                body = await response.read()
+                if response.status != 200:
+                    return result.Failure(
+                        errors.UnavailableError(
+                            f'instance list answered {response.status}'
+                        )
+                    )
+            rows = _INSTANCES.validate_json(body)
+        except (aiohttp.ClientError, asyncio.TimeoutError) as error:
+            return result.Failure(
+                errors.UnavailableError(f'instance list failed: {error!r}')
+            )
+        except ValueError as error:
+            return result.Failure(
+                errors.BadResponseError(f'bad instance list: {error}')
+            )
+        return result.Success(tuple(row.to_instance() for row in rows))
--- /dev/null
+++ b/packages/platform/src/dragonflyslip_platform/log.py
@@ -0,0 +1,229 @@
+"""The platform's append-only log service."""
+
+import asyncio
+import base64
+import binascii
+import dataclasses
+import typing
+
+import aiohttp
+import pydantic
+from returns import result
+
+from dragonflyslip_platform import errors
+
+FIRST_OFFSET = 1
+MAX_RECORD_BYTES = 1 << 20
+READ_LIMIT = 500
+
+# Added to a long poll's wait, so that an idle stream is not taken for an
+# unreachable log.
+_READ_MARGIN_S = 1.0
+
+
+@dataclasses.dataclass(frozen=True)
+class LogRecord:
+    """One record of a stream.
+
+    :param offset: position in the stream, from 1.
+    :param at_ms: Unix ms at which the log accepted it.
+    """
+
+    offset: int
+    at_ms: int
+    data: bytes
+
+
+@dataclasses.dataclass(frozen=True)
+class LogPage:
+    """Part of a stream.
+
+    :param first: lowest offset that the stream still holds.
+    :param next: offset to read from next.
+    :param head: offset that the next append will get.
+    :param records: records in offset order.
+    """
+
+    first: int
+    next: int
+    head: int
+    records: tuple[LogRecord, ...]
+
+    @property
+    def at_end(self) -> bool:
+        """Whether this read reached the end of the stream."""
+        return self.next >= self.head
+
+
+AppendResult = result.Result[int, errors.PlatformError]
+ReadResult = result.Result[LogPage, errors.PlatformError]
+
+
+class LogService(typing.Protocol):
+    """What the system needs of the log; contract tests define it."""
+
+    async def append(self, stream: str, data: bytes) -> AppendResult:
+        """Append one record.
+
+        :return: its offset; :exc:`~errors.UncertainAppendError` if it may
+            have taken effect, :exc:`~errors.UnavailableError` if not.
+        """
+
+    async def read(
+        self, stream: str, from_offset: int, limit: int, wait_s: float
+    ) -> ReadResult:
+        """Read up to ``limit`` records from ``from_offset`` on.
+
+        :param wait_s: seconds to wait for a record at the end of the stream.
+        :return: a page, empty if nothing came;
+            :exc:`~errors.OffsetExpiredError` if ``from_offset`` has expired.
+        """
+
+
+class _RecordModel(pydantic.BaseModel):
+    offset: int = pydantic.Field(ge=FIRST_OFFSET)
+    at_ms: int
+    data: str
+
+
+class _PageModel(pydantic.BaseModel):
+    first: int = pydantic.Field(ge=FIRST_OFFSET)
+    next: int = pydantic.Field(ge=FIRST_OFFSET)
+    head: int = pydantic.Field(ge=FIRST_OFFSET)
+    records: list[_RecordModel]
+
+    def to_page(self) -> LogPage:
+        return LogPage(
+            self.first,
+            self.next,
+            self.head,
+            tuple(
+                LogRecord(
+                    record.offset,
+                    record.at_ms,
+                    base64.b64decode(record.data, validate=True),
+                )
+                for record in self.records
+            ),
+        )
+
+
+class _AppendedModel(pydantic.BaseModel):
+    offset: int = pydantic.Field(ge=FIRST_OFFSET)
+
+
+class _ExpiredModel(pydantic.BaseModel):
+    first: int = pydantic.Field(ge=FIRST_OFFSET)
+
+
+class HttpLogService:
+    """Client of the log service over HTTP.
+
+    :param session: the HTTP session; its owner closes it.
+    :param base_url: such as ``http://10.0.0.5:7000``.
+    :param timeout_s: seconds until a request counts as lost.
+    """
+
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        base_url: str,
+        timeout_s: float = 2.0,
+    ):
+        self.session = session
+        self.base_url = base_url.rstrip('/')
+        self.timeout_s = timeout_s
+
+    async def append(self, stream: str, data: bytes) -> AppendResult:
+        """Append one record; see :meth:`LogService.append`."""
+        if len(data) > MAX_RECORD_BYTES:
+            return result.Failure(
+                errors.RecordTooLargeError(
+                    f'record of {len(data)} bytes exceeds {MAX_RECORD_BYTES}'
+                )
+            )
+        timeout = aiohttp.ClientTimeout(total=self.timeout_s)
+        try:
+            async with self.session.post(
+                self._url(stream), data=data, timeout=timeout
+            ) as response:
+                return self._appended(response.status, await response.read())
+        except aiohttp.ClientConnectorError as error:
+            return result.Failure(
+                errors.UnavailableError(f'log is unreachable: {error}')
+            )
+        except (aiohttp.ClientError, asyncio.TimeoutError) as error:
+            return result.Failure(
+                errors.UncertainAppendError(
+                    f'append response was lost: {error!r}'
+                )
+            )
+
+    async def read(
+        self, stream: str, from_offset: int, limit: int, wait_s: float
+    ) -> ReadResult:
+        """Read a page; see :meth:`LogService.read`."""
+        query = {
+            'from': str(from_offset),
+            'limit': str(limit),
+            'wait_ms': str(int(wait_s * 1000)),
+        }
+        timeout = aiohttp.ClientTimeout(
+            total=max(self.timeout_s, wait_s + _READ_MARGIN_S)
+        )
+        try:
+            async with self.session.get(
+                self._url(stream), params=query, timeout=timeout
+            ) as response:
+                return self._page(response.status, await response.read())
+        except (aiohttp.ClientError, asyncio.TimeoutError) as error:
+            return result.Failure(
+                errors.UnavailableError(f'log read failed: {error!r}')
+            )
+
+    def _url(self, stream: str) -> str:
+        return f'{self.base_url}/streams/{stream}/records'
+
+    def _appended(self, status: int, body: bytes) -> AppendResult:
+        if status == 503:
+            return result.Failure(
+                errors.UnavailableError('log refused the append')
+            )
+        if status == 413:
+            return result.Failure(
+                errors.RecordTooLargeError('log refused the record size')
+            )
+        try:
+            if status != 200:
+                raise ValueError(f'status {status}')
+            return result.Success(
+                _AppendedModel.model_validate_json(body).offset
+            )
+        except ValueError as error:
+            # A broken response after the request was sent proves nothing.
+            return result.Failure(
+                errors.UncertainAppendError(f'bad append response: {error}')
+            )
+
+    def _page(self, status: int, body: bytes) -> ReadResult:
+        try:
+            if status == 410:
+                first = _ExpiredModel.model_validate_json(body).first
+                return result.Failure(
+                    errors.OffsetExpiredError(
+                        f'records before offset {first} have expired', first
+                    )
+                )
+            if status == 503:
+                return result.Failure(
+                    errors.UnavailableError('log refused the read')
+                )
+            if status != 200:
+                raise ValueError(f'status {status}')
+            return result.Success(
+                _PageModel.model_validate_json(body).to_page()
+            )
+        except (ValueError, binascii.Error) as error:
+            return result.Failure(
+                errors.BadResponseError(f'bad log response: {error}')
+            )
--- a/packages/testing/src/dragonflyslip_testing/__init__.py
+++ b/packages/testing/src/dragonflyslip_testing/__init__.py
@@ -1,1 +1,7 @@
-"""Stand-ins for the platform and for targets."""
+"""Stand-ins for the platform and for targets, for tests and the demo."""
+
+from dragonflyslip_testing.memory_instances import instances_application
+from dragonflyslip_testing.memory_instances import MemoryInstances
+from dragonflyslip_testing.memory_log import log_application
+from dragonflyslip_testing.memory_log import LogFaults
+from dragonflyslip_testing.memory_log import MemoryLog
