--- /dev/null
+++ b/packages/core/src/dragonflyslip_core/config.py
@@ -0,0 +1,545 @@
+"""Configuration folded from the log stream ``config``.
+
+Every instance evaluates the same acceptance rule from log order alone, so
+all instances that have read through the same offset hold the same state.
+"""
+
+import collections
+import dataclasses
+import enum
+import hashlib
+import json
+import re
+import typing
+import uuid
+
+import pydantic
+from returns import result
+
+from dragonflyslip_core import errors
+from dragonflyslip_core import models
+from dragonflyslip_core import profiles
+from dragonflyslip_core import targets
+
+MAX_CHANGE_BYTES = 65_536
+AUDIT_ENTRIES = 64
+# Two days at 7,800 changes a day. An id that is forgotten cannot bring its
+# change back: the version that the change expects has passed by then.
+SEEN_OFFSETS = 16_384
+
+_NAME = re.compile(models.NAME_PATTERN)
+# Instance ids and request fingerprints come from other systems.
+_FOREIGN_NAME = re.compile(r'^[\x21-\x7e]{1,200}$')
+_MAX_JSON_INTEGER = 2**53 - 1
+
+Body: typing.TypeAlias = (
+    models.ProfileModel
+    | models.ServiceModel
+    | models.InServiceModel
+    | models.LiftSuspectModel
+)
+
+
+class Kind(enum.StrEnum):
+    """What a configuration record changes."""
+
+    PROFILE = 'profile'
+    SERVICE = 'service'
+    DOMAIN = 'domain'
+    INSTANCE = 'instance'
+    LIFT_SUSPECT = 'lift_suspect'
+    CHECKPOINT = 'checkpoint'
+
+
+_BODY_MODELS: dict[Kind, type[Body]] = {
+    Kind.PROFILE: models.ProfileModel,
+    Kind.SERVICE: models.ServiceModel,
+    Kind.DOMAIN: models.InServiceModel,
+    Kind.INSTANCE: models.InServiceModel,
+    Kind.LIFT_SUSPECT: models.LiftSuspectModel,
+}
+
+
+class ChangeModel(pydantic.BaseModel):
+    """A configuration record as it is on the log."""
+
+    model_config = pydantic.ConfigDict(extra='forbid', frozen=True)
+
+    change_id: uuid.UUID
+    author: str = pydantic.Field(min_length=1, max_length=200)
+    at: int = pydantic.Field(ge=0, le=_MAX_JSON_INTEGER)
+    kind: Kind
+    name: str = pydantic.Field(max_length=200)
+    expected_version: int = pydantic.Field(ge=0, le=_MAX_JSON_INTEGER)
+    body: dict[str, typing.Any]
+
+
+@dataclasses.dataclass(frozen=True)
+class ConfigChange:
+    """One change that an operator publishes.
+
+    :param change_id: UUID text; the same id marks a repeated append.
+    :param author: who publishes the change.
+    :param at_ms: Unix ms by the author's clock, for the audit only.
+    :param name: of the profile, service, domain, instance or fingerprint.
+    :param expected_version: offset of the change that this one replaces; 0
+        for an item without one.
+    :param body: the validated body for ``kind``.
+    """
+
+    change_id: str
+    author: str
+    at_ms: int
+    kind: Kind
+    name: str
+    expected_version: int
+    body: Body
+
+    def body_members(self) -> dict[str, typing.Any]:
+        """Return the members that the author set, as JSON values."""
+        return self.body.model_dump(mode='json', exclude_unset=True)
+
+
+def _canonical_json(value: typing.Any) -> bytes:
+    return json.dumps(
+        value, sort_keys=True, separators=(',', ':'), allow_nan=False
+    ).encode()
+
+
+def encode_change(change: ConfigChange) -> bytes:
+    """Return the record of a change, ready to append to ``config``."""
+    return _canonical_json(
+        {
+            'change_id': change.change_id,
+            'author': change.author,
+            'at': change.at_ms,
+            'kind': change.kind.value,
+            'name': change.name,
+            'expected_version': change.expected_version,
+            'body': change.body_members(),
+        }
+    )
+
+
+def parse_change(
+    data: bytes,
+) -> result.Result[ConfigChange, errors.RecordError]:
+    """Parse a record of any kind but ``checkpoint``.
+
+    :param data: the bytes of one log record.
+    :return: the change, or :exc:`~errors.RecordError` that says what is
+        wrong with it.
+    """
+    if len(data) > MAX_CHANGE_BYTES:
+        return _record_failure(
+            f'change has {len(data)} bytes, more than {MAX_CHANGE_BYTES}'
+        )
+    try:
+        model = ChangeModel.model_validate_json(data)
+        if model.kind not in _BODY_MODELS:
+            return _record_failure(f'{model.kind} is not an operator change')
+        body = _BODY_MODELS[model.kind].model_validate(model.body)
+        change = ConfigChange(
+            change_id=str(model.change_id),
+            author=model.author,
+            at_ms=model.at,
+            kind=model.kind,
+            name=model.name,
+            expected_version=model.expected_version,
+            body=body,
+        )
+        # Refuses NaN and lone surrogates, which the state could not carry.
+        encode_change(change)
+    except ValueError as error:
+        return _record_failure(f'invalid change: {error}')
+    foreign = change.kind in (Kind.INSTANCE, Kind.LIFT_SUSPECT)
+    pattern = _FOREIGN_NAME if foreign else _NAME
+    if pattern.fullmatch(change.name) is None:
+        return _record_failure(f'invalid {change.kind} name {change.name!r}')
+    return result.Success(change)
+
+
+def _record_failure(message: str) -> result.Failure[errors.RecordError]:
+    return result.Failure(errors.RecordError(message))
+
+
+@dataclasses.dataclass(frozen=True)
+class Item:
+    """The change in force for one name of one kind.
+
+    :param version: offset of the change.
+    """
+
+    version: int
+    change: ConfigChange
+
+
+class Verdict(enum.StrEnum):
+    """What the acceptance rule said of a record."""
+
+    ACCEPTED = 'accepted'
+    REJECTED = 'rejected'
+    INVALID = 'invalid'
+
+
+@dataclasses.dataclass(frozen=True)
+class AuditEntry:
+    """Who changed what; kept for the last ``AUDIT_ENTRIES`` records.
+
+    :param at_ms: Unix ms by the author's clock; 0 if the record does not
+        parse, as for ``author``, ``kind`` and ``name``, which are empty.
+    :param before: body members in force before the record, if any.
+    :param after: body members that the record asked for, if it parses.
+    """
+
+    offset: int
+    verdict: Verdict
+    author: str = ''
+    at_ms: int = 0
+    kind: str = ''
+    name: str = ''
+    change_id: str = ''
+    before: dict[str, typing.Any] | None = None
+    after: dict[str, typing.Any] | None = None
+
+
+@dataclasses.dataclass(frozen=True)
+class Applied:
+    """The change is accepted; its offset is the item's new version."""
+
+    offset: int
+    change: ConfigChange
+    replaced: Item | None
+
+
+@dataclasses.dataclass(frozen=True)
+class Rejected:
+    """The change expects another version than the item has.
+
+    :param winner: the change in force, None if the item has none.
+    """
+
+    offset: int
+    change: ConfigChange
+    winner: Item | None
+
+
+class IgnoredReason(enum.StrEnum):
+    """Why a record has no effect on the configuration."""
+
+    REPEATED = 'repeated'
+    CHECKPOINT = 'checkpoint'
+    CHECKPOINT_MISMATCH = 'checkpoint-mismatch'
+    ALREADY_READ = 'already-read'
+    INVALID = 'invalid'
+
+
+@dataclasses.dataclass(frozen=True)
+class Ignored:
+    """The record has no effect.
+
+    :param change_id: of a repeated or invalid change, if it has one.
+    :param detail: what is wrong with an invalid record.
+    """
+
+    offset: int
+    reason: IgnoredReason
+    change_id: str | None = None
+    detail: str = ''
+
+
+@dataclasses.dataclass
+class ConfigState:
+    """Configuration folded from all records through the offset ``through``.
+
+    :param through: offset of the last record folded; 0 before the first.
+    :param items: the change in force by kind and name.
+    :param seen: offset by change id, accepted or rejected, for the last
+        ``SEEN_OFFSETS`` offsets, in offset order.
+    :param audit: the last ``AUDIT_ENTRIES`` entries, oldest first.
+    """
+
+    through: int = 0
+    items: dict[Kind, dict[str, Item]] = dataclasses.field(
+        default_factory=lambda: {kind: {} for kind in _BODY_MODELS}
+    )
+    seen: dict[str, int] = dataclasses.field(default_factory=dict)
+    audit: collections.deque[AuditEntry] = dataclasses.field(
+        default_factory=lambda: collections.deque(maxlen=AUDIT_ENTRIES)
+    )
+
+    def __post_init__(self):
+        self._digest: str | None = None
+        self._rebuild()
+
+    def version_of(self, kind: Kind, name: str) -> int:
+        """Return the item's version, 0 before its first change."""
+        item = self.items[kind].get(name)
+        return 0 if item is None else item.version
+
+    def service(self, name: str) -> profiles.Service | None:
+        """Return the service called ``name``, None if there is none."""
+        return self._services.get(name)
+
+    def services(self) -> list[profiles.Service]:
+        """Return all services in name order."""
+        return [self._services[name] for name in sorted(self._services)]
+
+    def profile_of(self, service: str) -> profiles.Profile | None:
+        """Return the profile of the service called ``service``.
+
+        :return: None if there is no such service.
+        """
+        found = self._services.get(service)
+        return None if found is None else self._profiles[found.profile]
+
+    def service_for_host(self, host: str) -> profiles.Service | None:
+        """Return the service that a Host header value selects.
+
+        Case and a port are disregarded. A service name takes precedence
+        over a host list; of two services that list one host, the first in
+        name order gets it.
+        """
+        host = _host_name(host)
+        return self._services.get(self._hosts.get(host, host))
+
+    def is_in_service(self, target: targets.Target) -> bool:
+        """Return whether operators let ``target`` receive new work."""
+        return (
+            target.failure_domain not in self.domains_out
+            and target.instance_id not in self.instances_out
+        )
+
+    def digest(self) -> str:
+        """Return the SHA-256 of the whole state in hexadecimal digits."""
+        if self._digest is None:
+            content = _canonical_json(self.to_members())
+            self._digest = hashlib.sha256(content).hexdigest()
+        return self._digest
+
+    def to_members(self) -> dict[str, typing.Any]:
+        """Return the state as JSON values, equal for equal states."""
+        return {
+            'through': self.through,
+            'items': [
+                {
+                    'version': item.version,
+                    'change': json.loads(encode_change(item.change)),
+                }
+                for kind in _BODY_MODELS
+                for _, item in sorted(self.items[kind].items())
+            ],
+            'seen': [[key, offset] for key, offset in self.seen.items()],
+            'audit': [dataclasses.asdict(entry) for entry in self.audit],
+        }
+
+    @classmethod
+    def from_members(
+        cls, members: dict[str, typing.Any]
+    ) -> result.Result['ConfigState', errors.RecordError]:
+        """Return the state that :meth:`to_members` described."""
+        try:
+            state = cls(through=int(members['through']))
+            for entry in members['items']:
+                data = _canonical_json(entry['change'])
+                parsed = parse_change(data)
+                if isinstance(parsed, result.Failure):
+                    return parsed
+                change = parsed.unwrap()
+                item = Item(int(entry['version']), change)
+                state.items[change.kind][change.name] = item
+            state.seen = {
+                str(key): int(offset) for key, offset in members['seen']
+            }
+            for entry in members['audit']:
+                verdict = Verdict(entry['verdict'])
+                state.audit.append(AuditEntry(**{**entry, 'verdict': verdict}))
+            state._rebuild()
+        except (KeyError, TypeError, ValueError) as error:
+            return _record_failure(f'invalid state: {error!r}')
+        return result.Success(state)
+
+    def _rebuild(self) -> None:
+        # Lookups happen for each call, changes seldom.
+        self._profiles = {
+            name: profiles.Profile.from_model(name, item.change.body)
+            for name, item in self.items[Kind.PROFILE].items()
+        }
+        self._services = {
+            name: profiles.Service.from_model(name, item.change.body)
+            for name, item in self.items[Kind.SERVICE].items()
+        }
+        for service in self._services.values():
+            if service.profile not in self._profiles:
+                raise ValueError(f'unknown profile {service.profile!r}')
+        self._hosts: dict[str, str] = {}
+        for name in sorted(self._services):
+            for host in self._services[name].hosts:
+                self._hosts.setdefault(_host_name(host), name)
+        self._hosts.update({name: name for name in self._services})
+        self.domains_out = self._out_of_service(Kind.DOMAIN)
+        self.instances_out = self._out_of_service(Kind.INSTANCE)
+        self.lifted_suspects = {
+            name: item.version
+            for name, item in self.items[Kind.LIFT_SUSPECT].items()
+        }
+
+    def _out_of_service(self, kind: Kind) -> frozenset[str]:
+        return frozenset(
+            name
+            for name, item in self.items[kind].items()
+            if not item.change.body.in_service
+        )
+
+    def _advance(self, offset: int) -> None:
+        self.through = offset
+        self._digest = None
+        while self.seen:
+            oldest = next(iter(self.seen))
+            if self.seen[oldest] > offset - SEEN_OFFSETS:
+                break
+            del self.seen[oldest]
+
+
+def _host_name(host: str) -> str:
+    host = host.strip().lower()
+    if host.startswith('['):
+        return host.partition(']')[0] + ']'
+    return host.partition(':')[0]
+
+
+def check_change(
+    state: ConfigState, change: ConfigChange
+) -> result.Result[ConfigChange, errors.RecordError]:
+    """Check what the record of ``change`` would be refused for as invalid.
+
+    The operator command calls this before it appends a change.
+    """
+    if change.kind is Kind.SERVICE:
+        profile = change.body.profile
+        if profile not in state.items[Kind.PROFILE]:
+            return _record_failure(
+                f'service {change.name!r} names unknown profile {profile!r}'
+            )
+    return parse_change(encode_change(change))
+
+
+def apply_record(
+    state: ConfigState, offset: int, record: bytes
+) -> Applied | Rejected | Ignored:
+    """Fold one record of ``config`` into ``state``.
+
+    A change that parses but names an unknown profile is invalid, and its
+    change id counts as seen: a repeated append must not be accepted after
+    its author was told that the change is invalid.
+
+    :param offset: of the record; offsets have no gaps.
+    :param record: the bytes of the record.
+    :raises errors.RecordError: if records between ``state.through`` and
+        ``offset`` are missing. The state is unchanged.
+    """
+    if offset <= state.through:
+        return Ignored(offset, IgnoredReason.ALREADY_READ)
+    if offset != state.through + 1:
+        raise errors.RecordError(
+            f'records {state.through + 1} to {offset - 1} are missing'
+        )
+    checkpoint = read_checkpoint_header(record)
+    if checkpoint is not None:
+        matches = checkpoint.through != state.through or (
+            checkpoint.digest == state.digest()
+        )
+        state._advance(offset)
+        if matches:
+            return Ignored(offset, IgnoredReason.CHECKPOINT)
+        return Ignored(offset, IgnoredReason.CHECKPOINT_MISMATCH)
+    parsed = parse_change(record)
+    state._advance(offset)
+    if isinstance(parsed, result.Failure):
+        # The text of the parser's error stays out of the state, since it
+        # differs between releases and would change the digest.
+        state.audit.append(AuditEntry(offset, Verdict.INVALID))
+        return Ignored(
+            offset,
+            IgnoredReason.INVALID,
+            detail=parsed.failure().message,
+        )
+    return _apply_change(state, offset, parsed.unwrap())
+
+
+def _apply_change(
+    state: ConfigState, offset: int, change: ConfigChange
+) -> Applied | Rejected | Ignored:
+    if change.change_id in state.seen:
+        return Ignored(offset, IgnoredReason.REPEATED, change.change_id)
+    state.seen[change.change_id] = offset
+    current = state.items[change.kind].get(change.name)
+    if change.expected_version != state.version_of(change.kind, change.name):
+        _record_audit(state, offset, Verdict.REJECTED, change, current)
+        return Rejected(offset, change, current)
+    checked = check_change(state, change)
+    if isinstance(checked, result.Failure):
+        _record_audit(state, offset, Verdict.INVALID, change, current)
+        return Ignored(
+            offset,
+            IgnoredReason.INVALID,
+            change.change_id,
+            checked.failure().message,
+        )
+    state.items[change.kind][change.name] = Item(offset, change)
+    state._rebuild()
+    _record_audit(state, offset, Verdict.ACCEPTED, change, current)
+    return Applied(offset, change, current)
+
+
+def _record_audit(
+    state: ConfigState,
+    offset: int,
+    verdict: Verdict,
+    change: ConfigChange,
+    current: Item | None,
+) -> None:
+    state.audit.append(
+        AuditEntry(
+            offset=offset,
+            verdict=verdict,
+            author=change.author,
+            at_ms=change.at_ms,
+            kind=change.kind.value,
+            name=change.name,
+            change_id=change.change_id,
+            before=None if current is None else current.change.body_members(),
+            after=change.body_members(),
+        )
+    )
+
+
+@dataclasses.dataclass(frozen=True)
+class CheckpointHeader:
+    """Offset and digest of the state that a checkpoint holds."""
+
+    through: int
+    digest: str
+
+
+def read_checkpoint_header(record: bytes) -> CheckpointHeader | None:
+    """Return the header of a checkpoint record, None for another record.
+
+    A record that names itself a checkpoint but has no valid header is not a
+    checkpoint; it is then an invalid change on every instance.
+    """
+    # Spares the parsing of changes twice: the canonical form of checkpoints
+    # is the only one that is written.
+    if b'"kind":"checkpoint"' not in record:
+        return None
+    try:
+        members = json.loads(record)
+        if members['kind'] != Kind.CHECKPOINT:
+            return None
+        through = members['body']['through']
+        digest = members['body']['digest']
+    except (KeyError, TypeError, ValueError, RecursionError):
+        return None
+    if type(through) is not int or type(digest) is not str:
+        return None
+    return CheckpointHeader(through, digest)
