Serve calls end to end through one entry

Cause: nothing carried a call from a caller to a target yet.

Ruled out: Server.pre_shutdown for the drain. Before: it marks busy connections as closing, after which their incoming data is discarded, and the upload in flight ended with 504 (test_long_upload_survives_sigterm failed). After: only idle connections are closed and the upload arrives whole.

--- a/packages/core/src/dragonflyslip_core/blackboard.py
+++ b/packages/core/src/dragonflyslip_core/blackboard.py
@@ -18,6 +18,7 @@
     :param freshness: age of that configuration, a ``config.Freshness``.
     :param membership: the entries, a ``membership.Membership``.
     :param targets: what is known of each target, by instance id.
+    :param service_targets: the same states by service.
     :param claims: claims read from the log, a ``claims.ClaimTable``.
     :param suspects: requests that crash targets, a
         ``suspects.SuspectTable``.
@@ -30,6 +31,9 @@
     targets: dict[str, target_types.TargetState] = dataclasses.field(
         default_factory=dict
     )
+    service_targets: dict[str, list[target_types.TargetState]] = (
+        dataclasses.field(default_factory=dict)
+    )
     claims: typing.Any = None
     suspects: typing.Any = None
     counters: collections.Counter[str] = dataclasses.field(
--- /dev/null
+++ b/packages/entry/src/dragonflyslip_entry/metrics.py
@@ -0,0 +1,60 @@
+"""Metrics of one entry."""
+
+import prometheus_client
+from prometheus_client import core as metrics_core
+
+from dragonflyslip_core import blackboard
+
+_LATENCY_BUCKETS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 10, 60)
+
+
+class Metrics:
+    """The registry of one entry.
+
+    Counters of the blackboard are exported as ``dragonflyslip_NAME_total``.
+
+    :param board: the blackboard whose counters are exported.
+    """
+
+    def __init__(self, board: blackboard.Blackboard):
+        self.registry = prometheus_client.CollectorRegistry()
+        self.registry.register(_CounterCollector(board))
+        self.calls = prometheus_client.Counter(
+            'dragonflyslip_calls',
+            'Calls by service and response class',
+            ['service', 'result'],
+            registry=self.registry,
+        )
+        self.refusals = prometheus_client.Counter(
+            'dragonflyslip_refusals',
+            'Calls refused by the entry',
+            ['kind', 'outcome'],
+            registry=self.registry,
+        )
+        self.latency = prometheus_client.Histogram(
+            'dragonflyslip_call_seconds',
+            'Seconds from arrival to the end of the response',
+            ['service'],
+            buckets=_LATENCY_BUCKETS_S,
+            registry=self.registry,
+        )
+        self.in_flight = prometheus_client.Gauge(
+            'dragonflyslip_calls_in_flight',
+            'Calls in flight',
+            registry=self.registry,
+        )
+
+    def render(self) -> bytes:
+        """Return the text that ``/metrics`` serves."""
+        return prometheus_client.generate_latest(self.registry)
+
+
+class _CounterCollector:
+    def __init__(self, board: blackboard.Blackboard):
+        self.board = board
+
+    def collect(self):
+        for name, count in sorted(self.board.counters.items()):
+            yield metrics_core.CounterMetricFamily(
+                f'dragonflyslip_{name}', name.replace('_', ' '), value=count
+            )
--- /dev/null
+++ b/packages/entry/src/dragonflyslip_entry/progress.py
@@ -0,0 +1,97 @@
+"""Deadlines and progress of the two bodies of a call."""
+
+import asyncio
+import collections.abc
+
+from aiohttp import web
+
+from dragonflyslip_entry import errors
+
+_CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
+
+
+class Progress:
+    """Moves the timeout of a call as bytes move.
+
+    Until response headers arrive, the deadline counts; while a body is on
+    its way, only a lack of progress ends the call, since a long upload may
+    take minutes. Once the request body is complete, the deadline counts
+    anew.
+
+    :param timer: the timeout of the task that handles the call.
+    :param budget_s: seconds to response headers.
+    :param progress_s: seconds without a byte after which the call fails.
+    """
+
+    def __init__(
+        self,
+        timer: asyncio.Timeout,
+        budget_s: float,
+        progress_s: float,
+        loop: asyncio.AbstractEventLoop,
+    ):
+        self.loop = loop
+        self.timer = timer
+        self.budget_s = budget_s
+        self.progress_s = progress_s
+
+    def moved(self, now: float) -> None:
+        """Note that bytes of a body moved at ``now`` (loop time)."""
+        self._reschedule(now + self.progress_s)
+
+    def body_sent(self, now: float) -> None:
+        """Note that the request body is complete."""
+        self._reschedule(now + self.budget_s)
+
+    def _reschedule(self, when: float) -> None:
+        # The HTTP client may still pull the body after the timeout fired.
+        if self.timer.when() is not None and not self.timer.expired():
+            try:
+                self.timer.reschedule(when)
+            except RuntimeError:
+                pass
+
+
+class CallerBody:
+    """The caller's request body as it streams to a target.
+
+    :param expects_continue: whether the caller waits for ``100 Continue``,
+        which is sent when the target asks for the body.
+    """
+
+    def __init__(
+        self,
+        request: web.BaseRequest,
+        progress: Progress,
+        expects_continue: bool,
+    ):
+        self.request = request
+        self.progress = progress
+        self.expects_continue = expects_continue
+        self.loop = progress.loop
+        self.started = False
+        self.complete = False
+
+    async def stream(self) -> collections.abc.AsyncIterator[bytes]:
+        """Yield the body in the chunks in which it arrives.
+
+        :raises CallerBodyError: if the caller broke off.
+        """
+        self.started = True
+        if self.expects_continue and self.request.transport is not None:
+            self.request.transport.write(_CONTINUE)
+        content = self.request.content
+        self.progress.moved(self.loop.time())
+        while True:
+            try:
+                chunk = await content.readany()
+            except Exception as error:
+                raise errors.CallerBodyError(
+                    f'request body broke off: {error!r}'
+                ) from error
+            if not chunk:
+                break
+            self.progress.moved(self.loop.time())
+            yield chunk
+        self.complete = True
+        self.progress.body_sent(self.loop.time())
--- /dev/null
+++ b/packages/entry/tests/test_proxy.py
@@ -0,0 +1,136 @@
+"""The path of a call through one entry."""
+
+import asyncio
+import hashlib
+
+import aiohttp
+import pytest
+
+
+@pytest.fixture
+async def url(path):
+    await path.publish_service('casebook', missing_key='run_once')
+    await path.add_target('casebook-1')
+    url = await path.add_entry('entry-1')
+    await path.until_served(url)
+    return url
+
+
+class TestForwarding:
+    async def test_response_comes_from_the_target(self, path, url):
+        status, headers, body = await path.call(url, 'GET', '/a?b=%2F')
+        assert (status, body) == (200, b'casebook-1 GET /a?b=%2F\n')
+        assert headers['Via'] == '1.1 dragonflyslip'
+        assert 'Dragonflyslip-Load' not in headers
+
+    async def test_unknown_host_is_not_run(self, path, url):
+        status, headers, body = await path.call(
+            url, 'GET', '/', headers={'Host': 'nobody'}
+        )
+        assert status == 404
+        assert headers['Dragonflyslip-Outcome'] == 'not-run'
+        assert headers['Content-Type'] == 'application/problem+json'
+        assert b'"outcome": "not-run"' in body
+
+    async def test_head_has_length_and_no_body(self, path, url):
+        status, headers, body = await path.call(url, 'HEAD', '/')
+        assert (status, body) == (200, b'')
+        assert int(headers['Content-Length']) > 0
+
+    @pytest.mark.parametrize('size', [0, 1, 200_000])
+    async def test_upload_arrives_byte_for_byte(self, path, url, size):
+        data = bytes(i % 251 for i in range(size))
+
+        async def chunks():
+            for start in range(0, size, 7_000):
+                yield data[start : start + 7_000]
+
+        for body in (data, chunks()):
+            status, headers, _ = await path.call(url, 'POST', '/u', data=body)
+            assert status == 200
+            digest = hashlib.sha256(data).hexdigest()
+            assert headers['X-Test-Digest'] == digest
+
+    async def test_expectation_is_forwarded(self, path, url):
+        status, headers, _ = await path.call(
+            url, 'POST', '/u', data=b'abc', expect100=True
+        )
+        assert status == 200
+        assert headers['X-Test-Digest'] == hashlib.sha256(b'abc').hexdigest()
+
+    @pytest.mark.parametrize('framing', ['length', 'chunked'])
+    async def test_cut_response_does_not_look_complete(
+        self, path, url, framing
+    ):
+        headers = {'X-Test-Cut': framing, 'X-Test-Response-Bytes': '500000'}
+        with pytest.raises(aiohttp.ClientError):
+            await path.call(url, 'GET', '/', headers=headers)
+
+    async def test_long_response_is_whole(self, path, url):
+        headers = {'X-Test-Response-Bytes': '3000000'}
+        status, _, body = await path.call(url, 'GET', '/', headers=headers)
+        assert (status, len(body)) == (200, 3_000_000)
+
+    @pytest.mark.parametrize(
+        'lines',
+        [
+            b'Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n',
+            b'Transfer-Encoding: chunked\r\n\r\nzz\r\n',
+            b'Content-Length: 3\r\nContent-Length: 4\r\n\r\nabc',
+            b'X-Long: ' + b'a' * 40_000 + b'\r\n\r\n',
+        ],
+    )
+    async def test_ambiguous_framing_is_refused(self, path, url, lines):
+        runs = len(path.targets['casebook-1'].runs)
+        reader, writer = await asyncio.open_connection(*url.split(':'))
+        writer.write(b'POST /x HTTP/1.1\r\nHost: casebook\r\n' + lines)
+        head = await reader.read()
+        writer.close()
+        assert b' 400 ' in head.splitlines()[0]
+        assert b'Dragonflyslip-Outcome: not-run' in head
+        finished = [
+            run for run in path.targets['casebook-1'].runs if run.finished
+        ]
+        assert len(finished) == runs
+
+
+class TestOutcome:
+    async def test_no_listener_means_not_run(self, path):
+        await path.publish_service('casebook')
+        await path.add_target('casebook-1')
+        row = path.instances.rows[0]
+        path.instances.rows = (type(row)(**{**row.__dict__, 'port': 1}),)
+        url = await path.add_entry('entry-1')
+        for _ in range(200):
+            try:
+                status, headers, _ = await path.call(url, 'GET', '/')
+                break
+            except aiohttp.ClientError:
+                await asyncio.sleep(0.02)
+        assert status in (502, 503)
+        assert headers['Dragonflyslip-Outcome'] == 'not-run'
+
+
+class TestShutdown:
+    async def test_long_upload_survives_sigterm(self, path, url):
+        release = asyncio.Event()
+
+        async def chunks():
+            yield b'a' * 100_000
+            await release.wait()
+            yield b'b' * 100_000
+
+        upload = asyncio.create_task(
+            path.call(url, 'POST', '/u', data=chunks())
+        )
+        while not path.targets['casebook-1'].in_flight:
+            await asyncio.sleep(0.01)
+        path.entries['entry-1'].request_stop()
+        await asyncio.sleep(0.1)
+        assert not path.tasks['entry-1'].done()
+        release.set()
+        status, headers, _ = await upload
+        expected = hashlib.sha256(b'a' * 100_000 + b'b' * 100_000)
+        assert status == 200
+        assert headers['X-Test-Digest'] == expected.hexdigest()
+        await path.tasks['entry-1']
--- /dev/null
+++ b/packages/testing/src/dragonflyslip_testing/__main__.py
@@ -0,0 +1,55 @@
+"""Run one stand-in as a process, for tests of the whole path."""
+
+import argparse
+import asyncio
+
+from aiohttp import web
+import uvloop
+
+from dragonflyslip_testing import memory_instances
+from dragonflyslip_testing import memory_log
+from dragonflyslip_testing import target
+
+
+def _application(arguments: argparse.Namespace) -> web.Application:
+    match arguments.kind:
+        case 'log':
+            return memory_log.log_application(memory_log.MemoryLog())
+        case 'instances':
+            return memory_instances.instances_application(
+                memory_instances.MemoryInstances()
+            )
+        case _:
+            return target.target_application(
+                target.TargetModel(
+                    arguments.name,
+                    slots=arguments.slots,
+                    service_s=arguments.service_s,
+                    cold_s=arguments.cold_s,
+                    cold_limit=arguments.cold_limit,
+                )
+            )
+
+
+async def _serve(arguments: argparse.Namespace) -> None:
+    runner = web.AppRunner(_application(arguments), access_log=None)
+    await runner.setup()
+    await web.TCPSite(runner, '127.0.0.1', arguments.port).start()
+    await asyncio.Event().wait()
+
+
+def main() -> None:
+    """Serve until killed."""
+    parser = argparse.ArgumentParser(prog='dragonflyslip_testing')
+    parser.add_argument('kind', choices=['log', 'instances', 'target'])
+    parser.add_argument('--port', type=int, required=True)
+    parser.add_argument('--name', default='target')
+    parser.add_argument('--slots', type=int, default=6)
+    parser.add_argument('--service-s', type=float, default=0.0)
+    parser.add_argument('--cold-s', type=float, default=0.0)
+    parser.add_argument('--cold-limit', type=int, default=0)
+    uvloop.run(_serve(parser.parse_args()))
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/packages/testing/src/dragonflyslip_testing/target.py
@@ -0,0 +1,232 @@
+"""Stand-in for a target: slots, cold start, load reports, a run record."""
+
+import asyncio
+import contextlib
+import dataclasses
+import hashlib
+import time
+import uuid
+
+from aiohttp import web
+
+KEY_HEADER = 'Idempotency-Key'
+CRASH_HEADER = 'X-Test-Crash'
+DELAY_HEADER = 'X-Test-Delay-Ms'
+RESPONSE_BYTES_HEADER = 'X-Test-Response-Bytes'
+CUT_HEADER = 'X-Test-Cut'
+SHED_HEADER = 'X-Test-Shed'
+_CHUNK = b'0123456789abcdef' * 4096
+
+
+@dataclasses.dataclass
+class Run:
+    """One request that the target ran.
+
+    :param digest: SHA-256 of the body, empty until it was read whole.
+    """
+
+    method: str
+    path: str
+    key: str
+    boot_id: str
+    started_at: float
+    digest: str = ''
+    finished: bool = False
+
+
+@dataclasses.dataclass
+class TargetModel:
+    """State of the stand-in.
+
+    :param slots: requests that run at once; others wait.
+    :param service_s: seconds that a request takes.
+    :param cold_s: seconds after a start in which the target is cold.
+    :param cold_limit: requests at once above which a cold target crashes;
+        0 means that it never does.
+    """
+
+    name: str
+    slots: int = 6
+    service_s: float = 0.0
+    cold_s: float = 0.0
+    cold_limit: int = 0
+    boot_id: str = ''
+    booted_at: float = 0.0
+    in_flight: int = 0
+    draining: bool = False
+    crashes: int = 0
+    runs: list[Run] = dataclasses.field(default_factory=list)
+    peak_cold: int = 0
+    probes: int = 0
+
+    def __post_init__(self):
+        self.semaphore = asyncio.Semaphore(self.slots)
+        self.transports: set[asyncio.Transport] = set()
+        self.restart()
+
+    def restart(self) -> None:
+        """Break all connections and start cold with a new boot id."""
+        self.boot_id = uuid.uuid4().hex[:12]
+        self.booted_at = time.monotonic()
+        for transport in list(self.transports):
+            transport.abort()
+        self.transports.clear()
+
+    def crash(self) -> None:
+        """Restart because of a request."""
+        self.crashes += 1
+        self.restart()
+
+    @property
+    def cold(self) -> bool:
+        """Whether the target started less than ``cold_s`` ago."""
+        return time.monotonic() - self.booted_at < self.cold_s
+
+    def load_header(self) -> str:
+        """Return the value of ``Dragonflyslip-Load``."""
+        state = 'serving'
+        if self.draining:
+            state = 'draining'
+        elif self.cold:
+            state = 'warming'
+        return (
+            f'inflight={self.in_flight}, slots={self.slots}, '
+            f'boot="{self.boot_id}", state={state}'
+        )
+
+
+MODEL = web.AppKey('model', TargetModel)
+
+
+def target_application(model: TargetModel) -> web.Application:
+    """Return an application that behaves as ``model`` says.
+
+    ``GET /.dragonflyslip/load`` reports load; ``/.testing/`` paths show the
+    runs and change the model.
+    """
+    application = web.Application(client_max_size=1 << 40)
+    application[MODEL] = model
+    add = application.router.add_route
+    add('GET', '/.dragonflyslip/load', _handle_load)
+    add('GET', '/.testing/runs', _handle_runs)
+    add('POST', '/.testing/restart', _handle_restart)
+    add('POST', '/.testing/set', _handle_set)
+    add('*', '/{path:.*}', _handle_call)
+    return application
+
+
+async def _handle_load(request: web.Request) -> web.Response:
+    model = request.app[MODEL]
+    model.probes += 1
+    return web.Response(
+        headers={'Dragonflyslip-Load': model.load_header()}, status=204
+    )
+
+
+async def _handle_runs(request: web.Request) -> web.Response:
+    model = request.app[MODEL]
+    return web.json_response(
+        {
+            'runs': [dataclasses.asdict(run) for run in model.runs],
+            'crashes': model.crashes,
+            'peak_cold': model.peak_cold,
+            'probes': model.probes,
+            'boot_id': model.boot_id,
+        }
+    )
+
+
+async def _handle_restart(request: web.Request) -> web.Response:
+    request.app[MODEL].restart()
+    return web.Response(status=204)
+
+
+async def _handle_set(request: web.Request) -> web.Response:
+    for name, value in (await request.json()).items():
+        setattr(request.app[MODEL], name, value)
+    return web.Response(status=204)
+
+
+async def _handle_call(request: web.Request) -> web.StreamResponse:
+    model = request.app[MODEL]
+    if SHED_HEADER in request.headers:
+        return web.Response(
+            status=503,
+            headers={
+                'Dragonflyslip-Outcome': 'not-run',
+                'Dragonflyslip-Load': model.load_header(),
+            },
+        )
+    run = Run(
+        request.method,
+        request.raw_path,
+        request.headers.get(KEY_HEADER, ''),
+        model.boot_id,
+        time.monotonic(),
+    )
+    model.runs.append(run)
+    with _in_flight(model, request):
+        if CRASH_HEADER in request.headers:
+            model.crash()
+        async with model.semaphore:
+            return await _respond(model, request, run)
+
+
+@contextlib.contextmanager
+def _in_flight(model: TargetModel, request: web.Request):
+    transport = request.transport
+    model.transports.add(transport)
+    model.in_flight += 1
+    try:
+        if model.cold:
+            model.peak_cold = max(model.peak_cold, model.in_flight)
+            if 0 < model.cold_limit < model.in_flight:
+                model.crash()
+        yield
+    finally:
+        model.in_flight -= 1
+        model.transports.discard(transport)
+
+
+async def _respond(
+    model: TargetModel, request: web.Request, run: Run
+) -> web.StreamResponse:
+    digest = hashlib.sha256()
+    async for chunk in request.content.iter_any():
+        digest.update(chunk)
+    run.digest = digest.hexdigest()
+    delay_s = float(request.headers.get(DELAY_HEADER, '0')) / 1000
+    if model.service_s + delay_s > 0:
+        await asyncio.sleep(model.service_s + delay_s)
+    run.finished = True
+    headers = {
+        'Dragonflyslip-Load': model.load_header(),
+        'X-Test-Target': model.name,
+        'X-Test-Path': request.raw_path,
+        'X-Test-Digest': run.digest,
+    }
+    if RESPONSE_BYTES_HEADER not in request.headers:
+        return web.Response(
+            text=f'{model.name} {request.method} {request.raw_path}\n',
+            headers=headers,
+        )
+    return await _stream(request, headers)
+
+
+async def _stream(
+    request: web.Request, headers: dict[str, str]
+) -> web.StreamResponse:
+    size = int(request.headers[RESPONSE_BYTES_HEADER])
+    cut = request.headers.get(CUT_HEADER)
+    response = web.StreamResponse(headers=headers)
+    if cut != 'chunked':
+        response.content_length = size
+    await response.prepare(request)
+    stop = size // 2 if cut else size
+    for start in range(0, stop, len(_CHUNK)):
+        await response.write(_CHUNK[: min(len(_CHUNK), stop - start)])
+    if cut:
+        request.transport.abort()
+    else:
+        await response.write_eof()
+    return response
