--- /dev/null
+++ b/bench/processes.py
@@ -0,0 +1,211 @@
+"""Starts stand-ins and entries as processes for benchmarks and tests."""
+
+import contextlib
+import json
+import os
+import pathlib
+import random
+import signal
+import socket
+import subprocess
+import sys
+import time
+import urllib.error
+import urllib.request
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+# Below the range from which the kernel takes ports for outgoing connections.
+_PORTS = range(10_000, 30_000)
+
+
+def free_port() -> int:
+    """Return a port of the loopback interface that is free now."""
+    while True:
+        port = random.choice(_PORTS)
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind(('127.0.0.1', port))
+            return port
+
+
+def http_json(url: str, method: str = 'GET', body: object = None):
+    """Send a request to a stand-in or an admin port and parse the answer."""
+    data = None if body is None else json.dumps(body).encode()
+    request = urllib.request.Request(url, data=data, method=method)
+    with urllib.request.urlopen(request, timeout=5) as response:
+        text = response.read()
+    return json.loads(text) if text else None
+
+
+class Processes:
+    """Processes that end with the ``with`` block."""
+
+    def __init__(self):
+        self.running: dict[str, subprocess.Popen] = {}
+        self.rows: dict[str, dict] = {}
+        self.log_port = 0
+        self.list_port = 0
+        self.admin_ports: dict[str, int] = {}
+
+    def __enter__(self) -> 'Processes':
+        self.log_port = self.stand_in('log')
+        self.list_port = self.stand_in('instances')
+        return self
+
+    def __exit__(self, *exception) -> None:
+        for process in self.running.values():
+            process.kill()
+        for process in self.running.values():
+            process.wait()
+
+    @property
+    def log_url(self) -> str:
+        """URL of the log stand-in."""
+        return f'http://127.0.0.1:{self.log_port}'
+
+    @property
+    def instances_url(self) -> str:
+        """URL of the instance list stand-in."""
+        return f'http://127.0.0.1:{self.list_port}'
+
+    def start(self, name: str, *arguments: str, **variables: str) -> None:
+        """Start a Python module as a process called ``name``."""
+        sources = [str(p) for p in sorted(ROOT.glob('packages/*/src'))]
+        self.running[name] = subprocess.Popen(
+            [sys.executable, '-m', *arguments],
+            env={
+                **os.environ,
+                'PYTHONPATH': os.pathsep.join([*sources, str(ROOT)]),
+                **variables,
+            },
+        )
+
+    def stand_in(self, kind: str, name: str = '', **options) -> int:
+        """Start a stand-in and return its port once it answers."""
+        port = free_port()
+        flags = [
+            f'--{key.replace("_", "-")}={value}'
+            for key, value in options.items()
+        ]
+        name = name or kind
+        self.start(
+            name,
+            'dragonflyslip_testing',
+            kind,
+            f'--port={port}',
+            f'--name={name}',
+            *flags,
+        )
+        self.wait_for_port(port)
+        return port
+
+    def target(
+        self, name: str, service: str, domain: str = 'zone-a', **options
+    ) -> int:
+        """Start a target, list it and return its port."""
+        port = self.stand_in('target', name, **options)
+        self.list_instance(name, 'target', service, port, domain)
+        return port
+
+    def entry(self, name: str, domain: str = 'zone-a', **variables) -> int:
+        """Start an entry, list it and return its port for callers."""
+        port, peer_port = free_port(), free_port()
+        # The operator command expects the admin port at a fixed distance.
+        admin_port = peer_port + 1000
+        self.admin_ports[name] = admin_port
+        self.list_instance(name, 'entry', '', peer_port, domain)
+        self.start(
+            name,
+            'dragonflyslip_entry',
+            DRAGONFLYSLIP_NAME=name,
+            DRAGONFLYSLIP_FAILURE_DOMAIN=domain,
+            DRAGONFLYSLIP_LISTEN=f'127.0.0.1:{port}',
+            DRAGONFLYSLIP_PEER_LISTEN=f'127.0.0.1:{peer_port}',
+            DRAGONFLYSLIP_ADMIN_LISTEN=f'127.0.0.1:{admin_port}',
+            DRAGONFLYSLIP_LOG_URL=self.log_url,
+            DRAGONFLYSLIP_INSTANCES_URL=self.instances_url,
+            DRAGONFLYSLIP_DRAIN_DELAY_S='0.2',
+            DRAGONFLYSLIP_LOG_LEVEL='warning',
+            **variables,
+        )
+        return port
+
+    def operator(self, *arguments: str) -> subprocess.CompletedProcess:
+        """Run the operator command and return its result."""
+        sources = [str(p) for p in sorted(ROOT.glob('packages/*/src'))]
+        return subprocess.run(
+            [sys.executable, '-m', 'dragonflyslip_operator', *arguments],
+            env={
+                **os.environ,
+                'PYTHONPATH': os.pathsep.join(sources),
+                'DRAGONFLYSLIP_LOG_URL': self.log_url,
+                'DRAGONFLYSLIP_INSTANCES_URL': self.instances_url,
+                'DRAGONFLYSLIP_AUTHOR': 'bench',
+            },
+            capture_output=True,
+            text=True,
+            timeout=60,
+        )
+
+    def list_instance(
+        self,
+        name: str,
+        kind: str,
+        service: str,
+        port: int,
+        domain: str,
+        state: str = 'live',
+    ) -> None:
+        """Add or change a row of the instance list."""
+        self.rows[name] = {
+            'instance_id': name,
+            'kind': kind,
+            'service': service,
+            'address': '127.0.0.1',
+            'port': port,
+            'failure_domain': domain,
+            'state': state,
+        }
+        self.put_rows()
+
+    def put_rows(self) -> None:
+        """Send all rows to the instance list stand-in."""
+        http_json(
+            f'{self.instances_url}/instances', 'PUT', list(self.rows.values())
+        )
+
+    def wait_ready(self, name: str, timeout_s: float = 60.0) -> None:
+        """Wait until an entry says that it is ready."""
+        deadline = time.monotonic() + timeout_s
+        url = f'http://127.0.0.1:{self.admin_ports[name]}/readyz'
+        while time.monotonic() < deadline:
+            with contextlib.suppress(urllib.error.URLError, OSError):
+                urllib.request.urlopen(url, timeout=1).close()
+                return
+            time.sleep(0.05)
+        raise TimeoutError(f'{name} did not become ready')
+
+    def wait_for_port(self, port: int, timeout_s: float = 20.0) -> None:
+        """Wait until something listens on a port."""
+        deadline = time.monotonic() + timeout_s
+        while time.monotonic() < deadline:
+            with contextlib.suppress(OSError):
+                socket.create_connection(('127.0.0.1', port), 1).close()
+                return
+            time.sleep(0.02)
+        raise TimeoutError(f'nothing listens on port {port}')
+
+    def signal(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to a process that this object started."""
+        self.running[name].send_signal(number)
+
+    def cpu_seconds(self, name: str) -> float:
+        """Return the processor seconds that a process has used."""
+        stat = pathlib.Path(f'/proc/{self.running[name].pid}/stat')
+        fields = stat.read_text().rpartition(')')[2].split()
+        return (int(fields[11]) + int(fields[12])) / os.sysconf('SC_CLK_TCK')
+
+    def memory_bytes(self, name: str) -> int:
+        """Return the resident memory of a process."""
+        statm = pathlib.Path(f'/proc/{self.running[name].pid}/statm')
+        pages = int(statm.read_text().split()[1])
+        return pages * os.sysconf('SC_PAGE_SIZE')
