Add the concurrency limit and the admission queue

Cause: without a bound in front of targets, calls wait there until their callers have gone, and the target works for nobody.

Ruled out: a plain bound on the queue length. With a deadline shorter than the queue takes to drain, every call that starts has already expired. Also ruled out: comparing single latencies with the baseline; with exponential service times 13 % of them exceed twice the mean, so the limit falls without overload. The limit uses a short average.

Before: no limit and no queue.

Conclusion: calls are refused before any work, the lowest priority first, and one that starts has time to end.

--- /dev/null
+++ b/packages/core/src/dragonflyslip_core/limits.py
@@ -0,0 +1,302 @@
+"""Overload control: a concurrency limit per target, a queue per service."""
+
+import bisect
+import dataclasses
+import enum
+import math
+
+from returns import result
+
+from dragonflyslip_core import errors
+from dragonflyslip_core import outcomes
+
+DEADLINE_HEADER = 'Dragonflyslip-Deadline'
+
+# An EWMA of exponential service times with this weight stays under twice
+# its mean, so noise alone does not cut the limit.
+RECENT_WEIGHT = 0.1
+LATENCY_TOLERANCE = 2.0
+DECREASE_FACTOR = 0.8
+# The baseline falls faster than it rises: a long overload must not pass
+# for the normal latency of the target.
+BASELINE_FALL_S = 10.0
+BASELINE_RISE_S = 120.0
+
+SERVICE_WEIGHT = 0.05
+# Mean plus four mean deviations, as in RFC 6298; 98 % of exponential
+# service times are shorter.
+DEVIATION_FACTOR = 4.0
+
+
+def parse_deadline(
+    text: str | None, longest_s: float, now: float, wall: float
+) -> result.Result[float, errors.HeaderError]:
+    """Return the deadline of a call in monotonic seconds.
+
+    :param text: value of ``Dragonflyslip-Deadline`` (Unix ms), if present.
+    :param longest_s: deadline of the profile in seconds from ``now``; a
+        caller may ask for less, not for more.
+    :return: the deadline, or :exc:`~errors.HeaderError` if the value is
+        not a whole number.
+
+    >>> parse_deadline('10500', 5.0, now=1.0, wall=10.0).unwrap()
+    1.5
+    """
+    if text is None:
+        return result.Success(now + longest_s)
+    if len(text) > 16 or not (text.isascii() and text.isdigit()):
+        return result.Failure(errors.HeaderError(f'bad deadline {text!r}'))
+    return result.Success(now + min(longest_s, int(text) / 1000 - wall))
+
+
+@dataclasses.dataclass
+class AdaptiveLimit:
+    """How many requests this entry may have at one target.
+
+    The limit moves between 1 and ``slots``: up by one for each full round
+    of good responses while it is in use, down by a fifth when the recent
+    latency is over twice the slow baseline or the target sheds load.
+
+    :param slots: requests that the target runs at once.
+    """
+
+    slots: int
+    limit: float = 0.0
+    recent_s: float | None = None
+    baseline_s: float | None = None
+    updated_at: float = float('-inf')
+    decreased_at: float = float('-inf')
+
+    def __post_init__(self) -> None:
+        self.limit = self.limit or float(self.slots)
+
+    @property
+    def allowed(self) -> int:
+        """Requests that may be in flight at once, at least 1."""
+        return max(1, math.floor(self.limit))
+
+    def has_room(self, in_flight: int) -> bool:
+        """Return whether one more request may be sent."""
+        return in_flight < self.allowed
+
+    def set_slots(self, slots: int) -> None:
+        """Take over the slots that the target reports."""
+        if slots < 1:
+            return
+        if self.limit >= self.slots:
+            self.limit = float(slots)
+        self.slots = slots
+        self._move(self.limit)
+
+    def record_response(
+        self, latency_s: float, in_flight: int, now: float
+    ) -> None:
+        """Learn from a response.
+
+        :param latency_s: seconds from write to response headers.
+        :param in_flight: requests of this entry there before this response.
+        """
+        self._learn(latency_s, now)
+        if self.recent_s > LATENCY_TOLERANCE * self.baseline_s:
+            self._decrease(now)
+        elif in_flight + 1 >= self.allowed:
+            self._move(self.limit + 1 / self.limit)
+
+    def record_overload(self, now: float) -> None:
+        """Learn that the target shed a request or missed its deadline."""
+        self._decrease(now)
+
+    def _learn(self, latency_s: float, now: float) -> None:
+        if self.recent_s is None or self.baseline_s is None:
+            self.recent_s = self.baseline_s = latency_s
+        else:
+            self.recent_s += RECENT_WEIGHT * (latency_s - self.recent_s)
+            falls = self.recent_s < self.baseline_s
+            period = BASELINE_FALL_S if falls else BASELINE_RISE_S
+            weight = -math.expm1(-max(0.0, now - self.updated_at) / period)
+            self.baseline_s += weight * (self.recent_s - self.baseline_s)
+        self.updated_at = max(now, self.updated_at)
+
+    def _decrease(self, now: float) -> None:
+        # All responses of one round trip tell of the same overload.
+        if now - self.decreased_at < (self.recent_s or 0.0):
+            return
+        self.decreased_at = now
+        self._move(self.limit * DECREASE_FACTOR)
+
+    def _move(self, limit: float) -> None:
+        self.limit = min(float(self.slots), max(1.0, limit))
+
+
+class ShedReason(enum.StrEnum):
+    """Why a waiting call is refused."""
+
+    QUEUE_FULL = 'queue-full'
+    DEADLINE = 'deadline'
+
+
+@dataclasses.dataclass(frozen=True)
+class WaitingCall:
+    """A call that waits for a target.
+
+    :param call_id: chosen by the caller of the queue, unique while waiting.
+    :param priority: 0 to 9; the lowest is shed first.
+    :param deadline: monotonic seconds.
+    """
+
+    call_id: int
+    priority: int
+    deadline: float
+
+
+@dataclasses.dataclass(frozen=True)
+class ShedCall:
+    """A call that is refused before any work on it.
+
+    :param wait_s: estimate of the time until the queue is empty.
+    """
+
+    call: WaitingCall
+    reason: ShedReason
+    wait_s: float
+
+    def refusal(self, outcome: outcomes.Outcome) -> outcomes.Refusal:
+        """Return the refusal that the caller of the request sees."""
+        return outcomes.Refusal(
+            status=503,
+            outcome=outcome,
+            kind='overloaded',
+            detail=f'The request was shed: {self.reason.value}.',
+            retry_after_s=max(1, math.ceil(self.wait_s)),
+        )
+
+
+@dataclasses.dataclass(frozen=True)
+class Admission:
+    """What the queue decided: calls to start now and calls to refuse."""
+
+    start: tuple[WaitingCall, ...] = ()
+    shed: tuple[ShedCall, ...] = ()
+
+
+class AdmissionQueue:
+    """The calls of one service that wait at this entry for a target.
+
+    Higher priorities start first; within one priority, the earlier deadline
+    does, and equal deadlines start in order of arrival. Each decision takes
+    the number of this entry's requests that run at targets of the service
+    and the number that may start now.
+
+    :param limit: calls that may wait.
+    """
+
+    def __init__(self, limit: int):
+        self.limit = limit
+        self.service_s = 0.0
+        self.deviation_s = 0.0
+        self._calls: dict[int, tuple[int, float, int, int]] = {}
+        # Sorted by (-priority, deadline, sequence, call id).
+        self._order: list[tuple[int, float, int, int]] = []
+        self._sequence = 0
+
+    def __len__(self) -> int:
+        return len(self._order)
+
+    @property
+    def needed_s(self) -> float:
+        """Seconds that nearly every call needs once it has started."""
+        return self.service_s + DEVIATION_FACTOR * self.deviation_s
+
+    def record_service(self, service_s: float) -> None:
+        """Learn how long a started call took, in seconds."""
+        if self.service_s == 0.0:
+            self.service_s = service_s
+            return
+        error = service_s - self.service_s
+        self.service_s += SERVICE_WEIGHT * error
+        self.deviation_s += SERVICE_WEIGHT * (abs(error) - self.deviation_s)
+
+    def offer(
+        self, call: WaitingCall, now: float, running: int, free: int
+    ) -> Admission:
+        """Add a call and decide.
+
+        The new call is refused if those before it leave no time for it. If
+        the queue is over its limit, its last call of the lowest priority is.
+
+        :raises ValueError: if a call with this id already waits.
+        """
+        if call.call_id in self._calls:
+            raise ValueError(f'call {call.call_id} already waits')
+        self._sequence += 1
+        item = (-call.priority, call.deadline, self._sequence, call.call_id)
+        ahead = bisect.bisect_left(self._order, item)
+        wait = self.estimate_wait(max(0, ahead + 1 - free), running)
+        if now + wait + self.needed_s > call.deadline:
+            late = ShedCall(
+                call, ShedReason.DEADLINE, self._drain_time(running)
+            )
+            rest = self.poll(now, running, free)
+            return Admission(rest.start, (late, *rest.shed))
+        self._order.insert(ahead, item)
+        self._calls[call.call_id] = item
+        return self.poll(now, running, free)
+
+    def poll(self, now: float, running: int, free: int) -> Admission:
+        """Decide after a request has ended, or at :meth:`next_expiry`."""
+        shed = self._shed_late(now, running)
+        start = []
+        while self._order and len(start) < free:
+            start.append(self._take(0))
+        while len(self._order) > self.limit:
+            wait = self._drain_time(running)
+            call = self._take(-1)
+            shed.append(ShedCall(call, ShedReason.QUEUE_FULL, wait))
+        return Admission(tuple(start), tuple(shed))
+
+    def cancel(self, call_id: int) -> bool:
+        """Remove a call whose caller has gone; return whether it waited."""
+        item = self._calls.get(call_id)
+        if item is None:
+            return False
+        self._take(bisect.bisect_left(self._order, item))
+        return True
+
+    def next_expiry(self) -> float | None:
+        """Return when the next waiting call will be too late to start."""
+        if not self._order:
+            return None
+        return min(item[1] for item in self._order) - self.needed_s
+
+    def estimate_wait(self, ahead: int, running: int) -> float:
+        """Return the seconds until ``ahead`` calls have been started.
+
+        Without a running call there is no rate, and the estimate is 0.
+        """
+        if running < 1:
+            return 0.0
+        return ahead * self.service_s / running
+
+    def _drain_time(self, running: int) -> float:
+        return self.estimate_wait(len(self._order), running)
+
+    def _take(self, index: int) -> WaitingCall:
+        priority, deadline, _, call_id = self._order.pop(index)
+        del self._calls[call_id]
+        return WaitingCall(call_id, -priority, deadline)
+
+    def _shed_late(self, now: float, running: int) -> list[ShedCall]:
+        latest = now + self.needed_s
+        shed = []
+        index = 0
+        while index < len(self._order):
+            priority, deadline, _, _ = self._order[index]
+            if deadline < latest:
+                wait = self._drain_time(running)
+                call = self._take(index)
+                shed.append(ShedCall(call, ShedReason.DEADLINE, wait))
+                continue
+            # Deadlines ascend within a priority: skip to the next one.
+            after = (priority, math.inf, 0, 0)
+            index = bisect.bisect_left(self._order, after, lo=index)
+        return shed
