--- /dev/null
+++ b/packages/core/tests/test_connections.py
@@ -0,0 +1,114 @@
+"""Pooled connections: silent ones lose requests, too many hurt targets."""
+
+import pytest
+
+from dragonflyslip_core import connections
+
+
+def _rules(opened=(), share=1.0, limit=4):
+    """Return rules with idle connections, opened at the given times."""
+    rules = connections.ConnectionRules(15.0, 2.0, limit)
+    rules.set_share(share)
+    for number, at in enumerate(opened, start=1):
+        rules.opened(number, at)
+    for number, at in enumerate(opened, start=1):
+        rules.release(number, True, at)
+    return rules
+
+
+class TestAcquire:
+    @pytest.mark.parametrize(
+        ('opened', 'now', 'idempotent', 'expected'),
+        [
+            ([], 0, True, connections.Open()),
+            ([0, 1], 2, True, connections.Reuse(2)),
+            ([0, 1], 15.5, True, connections.Reuse(2)),
+            ([0, 1], 16, True, connections.Open()),
+            ([0, 1], 2, False, connections.Open()),
+            ([0, 1, 2, 3], 4, False, connections.Open((1,))),
+        ],
+    )
+    def test_choice(self, opened, now, idempotent, expected):
+        """Aged connections may be silent; a repeat may run twice."""
+        assert _rules(opened).acquire(idempotent, now) == expected
+
+    def test_connection_carries_one_request(self):
+        """Two requests on one connection mix up their responses."""
+        rules = _rules([0])
+        assert rules.acquire(True, 1) == connections.Reuse(1)
+        assert rules.acquire(True, 1) == connections.Open()
+
+    @pytest.mark.parametrize(
+        ('maximum', 'share', 'limit'),
+        [(250, 1 / 17, 14), (100, 0.29, 29), (250, 0.0, 0), (2, 0.4, 0)],
+    )
+    def test_share(self, maximum, share, limit):
+        """All entries together must not exceed the target's limit."""
+        rules = _rules(share=share, limit=maximum)
+        for number in range(limit):
+            assert rules.acquire(True, 0.0) == connections.Open()
+            rules.opened(number, 0.0)
+        assert rules.acquire(False, 0.0) == connections.Wait()
+
+    def test_smaller_share_closes_idle_then_released(self):
+        """A share that shrank must not stay exceeded by the pool."""
+        rules = _rules([0, 1, 2, 3])
+        rules.acquire(True, 4)
+        rules.acquire(True, 4)
+        rules.set_share(0.25)
+        assert rules.poll(5) == connections.Closures(idle=(1, 2))
+        assert not rules.release(4, True, 5) and rules.release(3, True, 5)
+
+
+class TestSilence:
+    def test_one_silence_retires_the_older_pool(self):
+        """Each further request on a silent pool would be lost too."""
+        rules = _rules([0, 1, 2, 3])
+        assert rules.acquire(True, 4) == connections.Reuse(4)
+        assert rules.acquire(True, 4) == connections.Reuse(3)
+        rules.await_progress(4, 4)
+        rules.await_progress(3, 5)
+        rules.await_progress(4, 5)
+        assert rules.poll(6.9) == connections.Closures()
+        assert rules.next_deadline() == 7
+        rules.pause_progress(3)
+        expected = connections.Closures(silent=(4,), idle=(1, 2))
+        assert rules.poll(7) == expected
+        assert not rules.release(3, True, 8)
+
+    def test_second_silence_of_the_old_pool_keeps_the_new_one(self):
+        """Late timeouts of old requests must not close good connections."""
+        rules = _rules([0, 1])
+        rules.acquire(True, 2)
+        rules.acquire(True, 2)
+        assert rules.silence(1, 4) == connections.Closures(silent=(1,))
+        rules.opened(9, 4)
+        rules.release(9, True, 5)
+        assert rules.silence(2, 6) == connections.Closures(silent=(2,))
+        assert rules.acquire(True, 6) == connections.Reuse(9)
+
+    def test_slow_caller_is_no_silence(self):
+        """A caller that reads slowly must not cost the pool."""
+        rules = _rules([0])
+        rules.acquire(True, 1)
+        rules.await_progress(1, 1)
+        rules.pause_progress(1)
+        assert rules.poll(100) == connections.Closures()
+
+    @pytest.mark.parametrize(
+        ('reusable', 'kept'), [(True, True), (False, False)]
+    )
+    def test_release(self, reusable, kept):
+        """An unread response would be taken for the next request's."""
+        rules = _rules([0])
+        rules.acquire(True, 1)
+        assert rules.release(1, reusable, 1) is kept
+        assert len(rules) == kept
+
+    def test_idle_age(self):
+        """Connections unused for long are the ones that go silent."""
+        rules = _rules([0, 1])
+        assert rules.next_deadline() == 15
+        assert rules.poll(15) == connections.Closures(idle=(1,))
+        rules.closed(2)
+        assert rules.next_deadline() is None
