Decide on reuse of connections by the connection rules

Cause: the HTTP client's pool hands out any idle connection and retires none of the others when one goes silent.

Change: one session a connection, chosen, counted and closed as ConnectionRules says. Ruled out: overriding the private pool methods of the client's connector, which change between releases.

--- a/packages/entry/src/dragonflyslip_entry/connections.py
+++ b/packages/entry/src/dragonflyslip_entry/connections.py
@@ -1,16 +1,19 @@
 """The connections of this entry to all targets."""
 
 import asyncio
+import typing
 
 from dragonflyslip_core import profiles
 from dragonflyslip_core import targets
 from dragonflyslip_entry import upstream
 
+POLL_S = 1.0
+
 
 class ConnectionTable:
     """Keeps one :class:`upstream.TargetConnections` for each target.
 
-    :param share: this entry's share of fleet-wide limits, 0 to 1.
+    :param share: this entry's part of fleet-wide limits, 0 to 1.
     """
 
     def __init__(self, share: float = 1.0):
@@ -23,28 +26,57 @@
     ) -> upstream.TargetConnections:
         """Return the connections to ``target``, opened at first use."""
         pool = self.pools.get(target.instance_id)
-        if (
-            pool is None
-            or pool.target.port != target.port
-            or (pool.target.address != target.address)
-        ):
-            pool = upstream.TargetConnections(
-                target,
-                int(profile.max_connections_per_target * self.share),
-                profile.idle_connection_s,
-            )
-            self.pools[target.instance_id] = pool
+        if pool is None or pool.target != target:
+            pool = self._replace(pool, target, profile)
         return pool
 
+    def set_share(self, share: float) -> None:
+        """Set this entry's part of the connections to each target."""
+        self.share = share
+        for pool in self.pools.values():
+            pool.rules.set_share(share)
+
     def forget(self, instance_id: str) -> None:
         """Close the connections to a target once its calls have ended."""
         pool = self.pools.pop(instance_id, None)
         if pool is not None:
-            task = asyncio.get_running_loop().create_task(pool.retire())
-            self._closing.add(task)
-            task.add_done_callback(self._closing.discard)
+            self._run(pool.retire())
+
+    async def run(self) -> None:
+        """Close idle connections for ever."""
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(POLL_S)
+            for pool in list(self.pools.values()):
+                await pool.poll(loop.time())
 
     async def close(self) -> None:
         """Close all connections."""
         for pool in self.pools.values():
             await pool.close()
+
+    def _replace(
+        self,
+        pool: upstream.TargetConnections | None,
+        target: targets.Target,
+        profile: profiles.Profile,
+    ) -> upstream.TargetConnections:
+        same_endpoint = pool is not None and (
+            pool.target.address == target.address
+            and pool.target.port == target.port
+        )
+        if pool is not None and same_endpoint:
+            pool.target = target
+            return pool
+        if pool is not None:
+            self._run(pool.retire())
+        pool = upstream.TargetConnections.from_profile(
+            target, profile, self.share
+        )
+        self.pools[target.instance_id] = pool
+        return pool
+
+    def _run(self, closing: typing.Coroutine) -> None:
+        task = asyncio.get_running_loop().create_task(closing)
+        self._closing.add(task)
+        task.add_done_callback(self._closing.discard)
--- a/packages/entry/src/dragonflyslip_entry/proxy.py
+++ b/packages/entry/src/dragonflyslip_entry/proxy.py
@@ -157,7 +157,7 @@
             call.headers,
             None if body is None else body.stream(),
             call.expects_continue and body is not None,
-            new_connection=not call.idempotent,
+            idempotent=call.idempotent,
             connect_timeout_s=call.profile.connect_timeout_ms / 1000,
             read_timeout_s=call.profile.progress_timeout_ms / 1000,
         )
--- a/packages/entry/src/dragonflyslip_entry/upstream.py
+++ b/packages/entry/src/dragonflyslip_entry/upstream.py
@@ -1,20 +1,25 @@
 """Connections to targets.
 
-The HTTP client's own pool is used, one for each target, with two additions:
-a check in the same step as the write, and a limit of one send per attempt,
-because the client would repeat idempotent calls by itself.
+Each connection is a session of the HTTP client with room for one
+connection; which one a call uses, and when it closes, is decided by
+:class:`dragonflyslip_core.connections.ConnectionRules`. A check runs in the
+step of the write, and an attempt is written once, because the client would
+repeat idempotent calls by itself.
 """
 
 import asyncio
 import collections.abc
 import contextvars
 import dataclasses
+import itertools
 import typing
 
 import aiohttp
 import multidict
 import yarl
 
+from dragonflyslip_core import connections
+from dragonflyslip_core import profiles
 from dragonflyslip_core import targets
 from dragonflyslip_entry import errors
 
@@ -32,6 +37,8 @@
 )
 _MAX_LINE_BYTES = 16_384
 _READ_BUFFER_BYTES = 65_536
+# The rules close idle connections; the client's own timer only backs them.
+_CLIENT_KEEPALIVE_S = 600.0
 
 
 @dataclasses.dataclass
@@ -44,6 +51,7 @@
 
     check: SendCheck
     written: bool = False
+    written_at: float = 0.0
 
     def confirm(self, now: float) -> None:
         """Allow the write, once.
@@ -57,32 +65,12 @@
             )
         self.check(now)
         self.written = True
+        self.written_at = now
 
 
 _ATTEMPT: contextvars.ContextVar[Attempt] = contextvars.ContextVar('attempt')
 
 
-@dataclasses.dataclass
-class _Pool:
-    """A session with the number of calls that use it.
-
-    Closing a session ends its busy connections, so a retired pool closes
-    when its last call ends.
-    """
-
-    session: aiohttp.ClientSession
-    in_use: int = 0
-    retired: bool = False
-
-    async def release(self) -> None:
-        self.in_use -= 1
-        await self.close_if_unused()
-
-    async def close_if_unused(self) -> None:
-        if self.retired and self.in_use == 0:
-            await self.session.close()
-
-
 class _CheckedRequest(aiohttp.ClientRequest):
     """Confirms the attempt in the step in which bytes are written."""
 
@@ -112,6 +100,24 @@
         return bool(self.body) or self._continue is not None
 
 
+def open_session() -> aiohttp.ClientSession:
+    """Return a session that holds one connection at most."""
+    return aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(
+            limit=1,
+            keepalive_timeout=_CLIENT_KEEPALIVE_S,
+            use_dns_cache=False,
+        ),
+        request_class=_CheckedRequest,
+        cookie_jar=aiohttp.DummyCookieJar(),
+        auto_decompress=False,
+        skip_auto_headers=_SKIPPED_HEADERS,
+        max_line_size=_MAX_LINE_BYTES,
+        max_field_size=_MAX_LINE_BYTES,
+        read_bufsize=_READ_BUFFER_BYTES,
+    )
+
+
 @dataclasses.dataclass
 class Exchange:
     """A response whose body is still to be read.
@@ -120,41 +126,57 @@
     """
 
     response: aiohttp.ClientResponse
-    _pool: _Pool
+    _owner: 'TargetConnections'
+    _connection_id: int
     closed: bool = False
 
+    def progressed(self, now: float) -> None:
+        """Note that bytes of a body moved on the connection."""
+        self._owner.rules.await_progress(self._connection_id, now)
+
     async def close(self) -> None:
         """Release the connection.
 
-        It goes back to the pool only if the body was read to its end;
-        otherwise it is closed, so that no later call gets the rest.
+        It stays open only if the body was read to its end; otherwise it is
+        closed, so that no later call gets the rest.
         """
         if not self.closed:
             self.closed = True
+            whole = self.response.content.is_eof()
             self.response.close()
-            await self._pool.release()
+            await self._owner.release(self._connection_id, whole)
 
 
 class TargetConnections:
     """The connections of this entry to one target.
 
-    Pooled connections carry idempotent calls. Other calls get a new
-    connection each, because a pooled one may have gone silent, and a call
-    that is lost on it could not be repeated.
-
     :param target: the target.
-    :param limit: connections that this entry may have to it.
-    :param idle_s: seconds that an unused connection is kept.
+    :param rules: decides on reuse and closing.
     """
 
-    def __init__(self, target: targets.Target, limit: int, idle_s: float):
+    def __init__(
+        self, target: targets.Target, rules: connections.ConnectionRules
+    ):
         self.target = target
-        self.limit = max(2, limit)
-        self.idle_s = idle_s
+        self.rules = rules
         host = target.address
-        self.authority = f'[{host}]' if ':' in host else host
-        self._pooled = _Pool(self._open(reuse=True))
-        self._fresh = _Pool(self._open(reuse=False))
+        authority = f'[{host}]' if ':' in host else host
+        self.base_url = f'http://{authority}:{target.port}'
+        self.sessions: dict[int, aiohttp.ClientSession] = {}
+        self._ids = itertools.count(1)
+        self._loop = asyncio.get_running_loop()
+
+    @classmethod
+    def from_profile(
+        cls, target: targets.Target, profile: profiles.Profile, share: float
+    ) -> 'TargetConnections':
+        """Return the connections to a target of a service with ``profile``.
+
+        :param share: this entry's part of fleet-wide limits, 0 to 1.
+        """
+        rules = connections.ConnectionRules.from_profile(profile)
+        rules.set_share(share)
+        return cls(target, rules)
 
     async def send(
         self,
@@ -164,87 +186,93 @@
         headers: multidict.CIMultiDict[str],
         body: Body | None,
         expect_continue: bool,
-        new_connection: bool,
+        idempotent: bool,
         connect_timeout_s: float,
         read_timeout_s: float,
-    ) -> 'Exchange':
+    ) -> Exchange:
         """Send one request and return once response headers arrived.
 
         :raises SendRefusedError: if the check in the step of the write
             failed; nothing was written.
         :raises TargetError: if the target could not be reached or broke off.
         """
-        pool = self._fresh if new_connection else self._pooled
-        timeout = aiohttp.ClientTimeout(
-            total=None,
-            sock_connect=connect_timeout_s,
-            sock_read=read_timeout_s,
-        )
-        pool.in_use += 1
+        connection_id, session = await self._acquire(idempotent)
         token = _ATTEMPT.set(attempt)
         try:
-            response = await pool.session.request(
+            response = await session.request(
                 method,
-                self._url(path),
+                yarl.URL(self.base_url + path, encoded=True),
                 headers=headers,
                 data=body,
                 allow_redirects=False,
                 expect100=expect_continue,
-                timeout=timeout,
+                timeout=aiohttp.ClientTimeout(
+                    total=None,
+                    sock_connect=connect_timeout_s,
+                    sock_read=read_timeout_s,
+                ),
             )
         except BaseException as error:
-            await pool.release()
+            if isinstance(error, asyncio.TimeoutError) and attempt.written:
+                await self._close_all(
+                    self.rules.silence(connection_id, self._loop.time())
+                )
+            await self.release(connection_id, False)
             if isinstance(error, (aiohttp.ClientError, OSError)):
                 raise _target_error(error, attempt) from error
             raise
         finally:
             _ATTEMPT.reset(token)
-        return Exchange(response, pool)
+        return Exchange(response, self, connection_id)
 
-    async def retire_pooled(self) -> None:
-        """Stop using the pooled connections; they close after their calls.
+    async def release(self, connection_id: int, reusable: bool) -> None:
+        """End the use of a connection."""
+        kept = self.rules.release(connection_id, reusable, self._loop.time())
+        if not kept:
+            await self._close(connection_id)
 
-        Used after one connection went silent: what lost track of it has
-        probably lost the others too.
-        """
-        old = self._pooled
-        self._pooled = _Pool(self._open(reuse=True))
-        old.retired = True
-        await old.close_if_unused()
+    async def poll(self, now: float) -> None:
+        """Close connections that are idle for too long or over the share."""
+        await self._close_all(self.rules.poll(now))
 
     async def retire(self) -> None:
-        """Close each connection after its current call."""
-        for pool in (self._pooled, self._fresh):
-            pool.retired = True
-            await pool.close_if_unused()
+        """Close idle connections now and busy ones after their call."""
+        self.rules.set_share(0.0)
+        await self.poll(self._loop.time())
 
     async def close(self) -> None:
         """Close all connections."""
-        await self._pooled.session.close()
-        await self._fresh.session.close()
-
-    def _url(self, path: str) -> yarl.URL:
-        return yarl.URL(
-            f'http://{self.authority}:{self.target.port}{path}', encoded=True
+        for connection_id in list(self.sessions):
+            await self._close(connection_id)
+
+    async def _acquire(
+        self, idempotent: bool
+    ) -> tuple[int, aiohttp.ClientSession]:
+        now = self._loop.time()
+        match self.rules.acquire(idempotent, now):
+            case connections.Reuse(connection_id):
+                return connection_id, self.sessions[connection_id]
+            case connections.Open(close):
+                connection_id = next(self._ids)
+                self.rules.opened(connection_id, now)
+                session = self.sessions[connection_id] = open_session()
+                for closed_id in close:
+                    await self._close(closed_id)
+                return connection_id, session
+        raise errors.TargetError(
+            'no-connection',
+            f'all connections to {self.target.instance_id} are in use',
+            written=False,
         )
 
-    def _open(self, reuse: bool) -> aiohttp.ClientSession:
-        connector = aiohttp.TCPConnector(
-            limit=max(1, self.limit // 2),
-            keepalive_timeout=self.idle_s if reuse else None,
-            force_close=not reuse,
-            use_dns_cache=False,
-        )
-        return aiohttp.ClientSession(
-            connector=connector,
-            request_class=_CheckedRequest,
-            cookie_jar=aiohttp.DummyCookieJar(),
-            auto_decompress=False,
-            skip_auto_headers=_SKIPPED_HEADERS,
-            max_line_size=_MAX_LINE_BYTES,
-            max_field_size=_MAX_LINE_BYTES,
-            read_bufsize=_READ_BUFFER_BYTES,
-        )
+    async def _close_all(self, closures: connections.Closures) -> None:
+        for connection_id in (*closures.silent, *closures.idle):
+            await self._close(connection_id)
+
+    async def _close(self, connection_id: int) -> None:
+        session = self.sessions.pop(connection_id, None)
+        if session is not None:
+            await session.close()
 
 
 def _target_error(error: Exception, attempt: Attempt) -> errors.TargetError:
