--- /dev/null
+++ b/packages/core/src/dragonflyslip_core/membership.py
@@ -0,0 +1,318 @@
+"""Which entries are live, and whether a majority sees the same ones."""
+
+import collections
+import dataclasses
+import hashlib
+import typing
+
+LIVE_S = 3.0
+"""Seconds since the last heartbeat, or since first listed, of a live entry."""
+
+STALE_S = 2.0
+"""Seconds after which a report of a peer's view counts no more."""
+
+STABLE_S = 3.0
+"""Seconds that a view must be unchanged before its holder votes for it.
+
+Longer than ``STALE_S``, so that no entry votes for two views within the time
+in which votes count. Two majorities of one population share an entry, and
+therefore cannot exist for two views at once.
+"""
+
+MAX_GAP_S = STABLE_S - STALE_S
+"""Seconds between two checks over which agreement counts as unbroken.
+
+Between two checks that are further apart, another view can have had a
+majority unnoticed.
+"""
+
+POPULATION_S = 60.0
+"""Seconds that an entry stays known after it was last listed or heard."""
+
+HEARTBEAT_S = 0.8
+"""Seconds between heartbeats.
+
+A vote is as old as the heartbeat that it echoes, which is up to two periods
+when the next one arrives. Two periods of 1 s would reach ``STALE_S``.
+"""
+
+_REMEMBERED_SEQUENCES = 16
+
+
+class EntryId(typing.NamedTuple):
+    """An entry process: its name and a random number chosen at its start."""
+
+    name: str
+    incarnation: int
+
+    def __str__(self) -> str:
+        return f'{self.name}/{self.incarnation:016x}'
+
+    @classmethod
+    def parse(cls, text: str) -> 'EntryId':
+        """Return the id written as ``name/incarnation`` in hexadecimal.
+
+        :raises ValueError: if the text has another form.
+
+        >>> EntryId.parse('e1/00000000000000ff').incarnation
+        255
+        """
+        name, separator, incarnation = text.rpartition('/')
+        if not separator or not name:
+            raise ValueError(f'malformed entry id {text!r}')
+        return cls(name, int(incarnation, 16))
+
+
+class Member(typing.NamedTuple):
+    """A live entry in a view; a draining one receives no exclusive right.
+
+    The incarnation is 0 while the entry is listed and not yet heard.
+    """
+
+    entry_id: EntryId
+    draining: bool = False
+
+
+@dataclasses.dataclass(frozen=True)
+class MembershipView:
+    """The live entries as one entry sees them, sorted by id."""
+
+    members: tuple[Member, ...]
+
+    @property
+    def digest(self) -> bytes:
+        """Eight bytes that equal views have in common."""
+        return view_digest(self)
+
+    def rank(self, entry_id: EntryId) -> int | None:
+        """Return the position of an entry, from 0, or None if absent."""
+        ids = [member.entry_id for member in self.members]
+        return ids.index(entry_id) if entry_id in ids else None
+
+
+def view_digest(view: MembershipView) -> bytes:
+    """Return eight bytes that equal views have in common."""
+    digest = hashlib.blake2b(digest_size=8)
+    for member in view.members:
+        digest.update(f'{member.entry_id} {member.draining:d}\n'.encode())
+    return digest.digest()
+
+
+@dataclasses.dataclass(frozen=True)
+class MemberReport:
+    """What a heartbeat says of its sender's membership.
+
+    :param sequence: grows with each heartbeat, also over restarts.
+    :param echo: last sequence that the sender received from the recipient,
+        0 if none. It proves that the report is younger than that heartbeat,
+        however long it was under way or waited to be read.
+    :param view_age_s: seconds since the sender's view last changed.
+    """
+
+    entry_id: EntryId
+    sequence: int
+    echo: int
+    view_digest: bytes
+    view_age_s: float
+    draining: bool = False
+
+
+@dataclasses.dataclass(frozen=True)
+class Agreement:
+    """Whether a majority of the known population has this entry's view.
+
+    :param since: start of the unbroken agreement, None without agreement.
+    :param population: number of known entries, this one included.
+    :param heard: number of these heard within ``LIVE_S``, this one included.
+    :param last_divisor: number of parts into which limits were divided when
+        there was agreement last; None if there never was.
+    """
+
+    agreed: bool
+    view: MembershipView
+    votes: int
+    population: int
+    heard: int
+    since: float | None = None
+    last_divisor: int | None = None
+
+    @property
+    def hears_majority(self) -> bool:
+        """Whether this entry hears more than half of the population."""
+        return 2 * self.heard > self.population
+
+
+@dataclasses.dataclass
+class _Peer:
+    report: MemberReport
+    heard_at: float
+    proven_at: float
+
+
+class Membership:
+    """Membership as one entry sees it.
+
+    :param own: id of this entry.
+    :param wall: Unix seconds at the start; sequence numbers start there, so
+        that a replacement of this entry continues above them.
+    """
+
+    def __init__(self, own: EntryId, wall: float):
+        self.own = own
+        self.draining = False
+        self.superseded = False
+        self.sequence = int(wall * 1000)
+        self.listed: set[str] = set()
+        self._list_known = False
+        self._first_listed: dict[str, float] = {}
+        self._last_known: dict[str, float] = {}
+        self._peers: dict[str, _Peer] = {}
+        self._sent: collections.OrderedDict[int, float] = (
+            collections.OrderedDict()
+        )
+        self._view = MembershipView(members=())
+        self._view_digest = b''
+        self._view_changed_at = float('-inf')
+        self._agreed_since: float | None = None
+        self._agreed_digest = b''
+        self._agreed_checked_at = float('-inf')
+        self._last_divisor: int | None = None
+
+    def observe_list(self, live_names: typing.Iterable[str], now: float):
+        """Take over the names of the entries that are listed as live."""
+        names = set(live_names)
+        for name in names | self.listed:
+            self._last_known[name] = now
+        for name in names - self.listed:
+            self._first_listed[name] = now
+        self.listed = names
+        self._list_known = True
+
+    def observe_heartbeat(self, report: MemberReport, now: float) -> bool:
+        """Take over the report of a peer.
+
+        :return: False if it was ignored because a later one is known.
+        """
+        name = report.entry_id.name
+        if name == self.own.name:
+            if report.entry_id != self.own and report.sequence > self.sequence:
+                self.superseded = True
+            return False
+        known = self._peers.get(name)
+        proven_at = self._sent.get(report.echo, float('-inf'))
+        if known is not None:
+            same_process = known.report.entry_id == report.entry_id
+            silent = now - known.heard_at > LIVE_S
+            late = report.sequence <= known.report.sequence
+            if late and (same_process or not silent):
+                return False
+        self._peers[name] = _Peer(report, now, proven_at)
+        self._last_known[name] = now
+        return True
+
+    def next_report(self, now: float) -> MemberReport:
+        """Return the report of the next round of heartbeats.
+
+        The caller sets ``echo`` for each recipient, see :meth:`echo_for`.
+        """
+        self.sequence += 1
+        self._sent[self.sequence] = now
+        while len(self._sent) > _REMEMBERED_SEQUENCES:
+            self._sent.popitem(last=False)
+        self.view(now)
+        return MemberReport(
+            entry_id=self.own,
+            sequence=self.sequence,
+            echo=0,
+            view_digest=self._view_digest,
+            view_age_s=now - self._view_changed_at,
+            draining=self.draining,
+        )
+
+    def echo_for(self, name: str) -> int:
+        """Return the last sequence received from an entry, 0 if none."""
+        peer = self._peers.get(name)
+        return 0 if peer is None else peer.report.sequence
+
+    def view(self, now: float) -> MembershipView:
+        """Return the live entries."""
+        members = [Member(self.own, self.draining)]
+        for name, peer in self._peers.items():
+            if now - peer.heard_at <= LIVE_S:
+                report = peer.report
+                members.append(Member(report.entry_id, report.draining))
+        heard = {member.entry_id.name for member in members}
+        for name in self.listed - heard:
+            if now - self._first_listed[name] < LIVE_S:
+                members.append(Member(EntryId(name, 0)))
+        view = MembershipView(tuple(sorted(members)))
+        if view != self._view:
+            self._view = view
+            self._view_digest = view_digest(view)
+            self._view_changed_at = now
+        return self._view
+
+    def population(self, now: float) -> set[str]:
+        """Return the names of all known entries, this one included."""
+        for name in list(self._last_known):
+            forgotten = now - self._last_known[name] > POPULATION_S
+            if forgotten and name not in self.listed:
+                del self._last_known[name]
+                self._peers.pop(name, None)
+                self._first_listed.pop(name, None)
+        return {self.own.name, *self._last_known}
+
+    def agreement(self, now: float) -> Agreement:
+        """Return whether a majority reports this entry's view.
+
+        Call this at least every ``MAX_GAP_S`` and in the same step as the
+        use of what it allows.
+        """
+        view = self.view(now)
+        population = self.population(now)
+        votes = 0
+        if now - self._view_changed_at >= STABLE_S:
+            votes = 1 + sum(
+                self._votes(peer, now) for peer in self._peers.values()
+            )
+        agreed = (
+            self._list_known
+            and not self.superseded
+            and 2 * votes > len(population)
+        )
+        self._update_agreed(agreed, now)
+        if agreed:
+            # The population, not the view, is the divisor: entries that are
+            # cut off still use half of their share.
+            self._last_divisor = max(len(population), len(view.members))
+        return Agreement(
+            agreed=agreed,
+            view=view,
+            votes=votes,
+            population=len(population),
+            heard=1
+            + sum(
+                now - peer.heard_at <= LIVE_S for peer in self._peers.values()
+            ),
+            since=self._agreed_since,
+            last_divisor=self._last_divisor,
+        )
+
+    def _votes(self, peer: _Peer, now: float) -> bool:
+        return (
+            now - peer.proven_at <= STALE_S
+            and peer.report.view_age_s >= STABLE_S
+            and peer.report.view_digest == self._view_digest
+        )
+
+    def _update_agreed(self, agreed: bool, now: float) -> None:
+        if not agreed:
+            self._agreed_since = None
+        elif (
+            self._agreed_since is None
+            or self._agreed_digest != self._view_digest
+            or now - self._agreed_checked_at > MAX_GAP_S
+        ):
+            self._agreed_since = now
+            self._agreed_digest = self._view_digest
+        self._agreed_checked_at = now
