Add the warm-up of cold targets and a simulated fleet

Cause: a target that has just started must not receive more requests than its ramp allows, whatever the entries believe of one another.

Ruled out: relying on a closed idle connection alone to notice a restart. A new connection may lead to a newer process. A connection is used only if the boot id was confirmed after it was opened. Also ruled out: ordering boot ids by peers' news, which have no common order; only an own report makes a boot id known. Also ruled out: a new holder that assumes an idle target. It asks first how many requests of its predecessor still run, and abandoned requests count until a report shows fewer.

Before: no warm-up.

After: WarmupController with start and finish around each write, facts for heartbeats and notices, and warm capacity per domain.

--- /dev/null
+++ b/packages/core/src/dragonflyslip_core/warmup.py
@@ -0,0 +1,469 @@
+"""Gentle start of cold targets: one holder for each, and a ramp.
+
+A process that has just started is known by its boot id. Requests go to it
+only over connections that are proven to lead to that process, and, until it
+is warm, only from the entry that holds the right to it.
+"""
+
+import collections
+import dataclasses
+import math
+import typing
+
+from returns import result
+
+from dragonflyslip_core import blackboard
+from dragonflyslip_core import errors
+from dragonflyslip_core import membership
+from dragonflyslip_core import profiles
+from dragonflyslip_core import shares
+from dragonflyslip_core import targets
+
+_REMEMBERED_BOOTS = 4
+_MAX_FAILED_PART = 0.1
+"""Failed requests per good one in a step at which the ramp stops rising."""
+_NEWS_S = 3.0
+"""Seconds that a changed fact is repeated in each heartbeat."""
+
+
+@dataclasses.dataclass(frozen=True)
+class WarmupRules:
+    """How targets of one profile are warmed up.
+
+    :param slots: requests at once to a warm target.
+    :param cold_concurrency: requests at once when the ramp begins.
+    :param warmup_s: seconds from the first request to a warm target.
+    """
+
+    slots: int
+    cold_concurrency: int
+    warmup_s: float
+
+    @classmethod
+    def from_profile(cls, profile: profiles.Profile) -> 'WarmupRules':
+        """Return the rules of a profile."""
+        return cls(profile.slots, profile.cold_concurrency, profile.warmup_s)
+
+    @property
+    def step_s(self) -> float:
+        """Seconds after which the limit doubles.
+
+        >>> WarmupRules(slots=6, cold_concurrency=1, warmup_s=9.0).step_s
+        3.0
+        """
+        return self.warmup_s / max(1, math.ceil(math.log2(self.slots)))
+
+    def limit(self, step: int) -> int:
+        """Return the requests at once in a step of the ramp, from 0."""
+        return min(self.slots, self.cold_concurrency << min(step, 32))
+
+
+@dataclasses.dataclass(frozen=True)
+class TargetFact:
+    """What an entry tells its peers of a target.
+
+    :param level: requests at once that the sender's ramp allows, 0 if it is
+        not the holder or the target is warm.
+    :param age_s: seconds since the sender last saw this boot id.
+    """
+
+    target_id: str
+    boot_id: str
+    warm: bool
+    level: int
+    age_s: float
+
+
+@dataclasses.dataclass(frozen=True)
+class Permit:
+    """Leave to write one request, valid only in the step that obtained it.
+
+    :param boot_id: the process that the request goes to.
+    """
+
+    target_id: str
+    boot_id: str
+    epoch: int
+
+
+@dataclasses.dataclass
+class _Record:
+    rules: WarmupRules
+    failure_domain: str
+    boot_id: str | None = None
+    confirmed_at: float = float('-inf')
+    reporting_warming: bool = False
+    suspected_at: float | None = None
+    peer_news: str | None = None
+    warm_boots: collections.deque[str] = dataclasses.field(
+        default_factory=lambda: collections.deque(maxlen=_REMEMBERED_BOOTS)
+    )
+    old_boots: collections.deque[str] = dataclasses.field(
+        default_factory=lambda: collections.deque(maxlen=_REMEMBERED_BOOTS)
+    )
+    changed_at: float = float('-inf')
+    peer_level: int = 0
+    # Requests of this entry whose end is awaited, and requests that may
+    # still run at the target but whose end this entry will not see.
+    in_flight: int = 0
+    unseen: float = 0
+    unseen_since: float = float('-inf')
+    epoch: int = 0
+    held_since: float | None = None
+    step: int = 0
+    step_started_at: float | None = None
+    step_good: int = 0
+    step_failed: int = 0
+
+    @property
+    def confirmed(self) -> bool:
+        return self.boot_id is not None and self.suspected_at is None
+
+    @property
+    def warm(self) -> bool:
+        return self.boot_id in self.warm_boots and not self.reporting_warming
+
+    def begin_ramp(self) -> None:
+        self.step = 0
+        self.step_started_at = None
+        self.step_good = 0
+        self.step_failed = 0
+
+
+class WarmupController:
+    """Decides whether a request may go to a target that may be cold.
+
+    It owns ``boot_id``, ``suspected`` and ``warm_limit`` of the target
+    states on the blackboard. ``board.membership`` must be set.
+    """
+
+    def __init__(self, board: blackboard.Blackboard):
+        self.board = board
+        self._records: dict[str, _Record] = {}
+        self._notices: list[str] = []
+        self._next_repeated = 0
+
+    def add_target(self, target: targets.Target, rules: WarmupRules) -> None:
+        """Take a target into account, cold if it is new."""
+        record = self._records.get(target.instance_id)
+        if record is None:
+            self._records[target.instance_id] = _Record(
+                rules, target.failure_domain
+            )
+        else:
+            record.rules = rules
+            record.failure_domain = target.failure_domain
+        if target.instance_id not in self.board.targets:
+            self.board.targets[target.instance_id] = targets.TargetState(
+                target
+            )
+        self._publish(target.instance_id)
+
+    def remove_target(self, target_id: str) -> None:
+        """Forget a target; it is cold when it comes back."""
+        self._records.pop(target_id, None)
+
+    def observe_report(
+        self,
+        target_id: str,
+        report: targets.LoadReport,
+        sent_at: float,
+        now: float,
+    ) -> None:
+        """Take over a load report from a response or a probe.
+
+        :param sent_at: when the request or the probe was written. The target
+            ran as ``report.boot_id`` at some time after that.
+        """
+        record = self._records.get(target_id)
+        if record is None:
+            return
+        if report.boot_id != record.boot_id:
+            if sent_at < record.confirmed_at:
+                # A connection leads to one process. This one was open before
+                # the known process was seen to run, so it led to an earlier
+                # process, whose answer arrives late.
+                record.old_boots.append(report.boot_id)
+                return
+            self._begin_boot(record, report.boot_id, now)
+            self._notices.append(target_id)
+        record.confirmed_at = max(record.confirmed_at, sent_at)
+        if record.suspected_at is not None and sent_at >= record.suspected_at:
+            record.suspected_at = None
+        if record.peer_news is not None and record.suspected_at is None:
+            if record.peer_news != record.boot_id:
+                record.old_boots.append(record.peer_news)
+            record.peer_news = None
+        if sent_at >= record.unseen_since:
+            record.unseen = min(record.unseen, report.in_flight)
+        was_warming = record.reporting_warming
+        record.reporting_warming = report.state is targets.ReportState.WARMING
+        if record.reporting_warming and not was_warming:
+            if report.boot_id in record.warm_boots:
+                record.warm_boots.remove(report.boot_id)
+                record.begin_ramp()
+                record.changed_at = now
+                # All entries have been sending to it.
+                record.unseen = math.inf
+                record.unseen_since = now
+        self._publish(target_id)
+
+    def observe_connection_lost(self, target_id: str, now: float) -> None:
+        """Suspect a restart: a connection was reset, refused or closed.
+
+        No new request is sent until a report confirms the boot id.
+        """
+        record = self._records.get(target_id)
+        if record is None:
+            return
+        record.suspected_at = now
+        self._publish(target_id)
+
+    def observe_fact(self, fact: TargetFact, now: float) -> None:
+        """Take over what a peer says of a target."""
+        record = self._records.get(fact.target_id)
+        if record is None:
+            return
+        if fact.warm and fact.boot_id not in record.warm_boots:
+            record.warm_boots.append(fact.boot_id)
+            if fact.boot_id == record.boot_id:
+                record.changed_at = now
+        if fact.boot_id == record.boot_id:
+            record.peer_level = fact.level or record.peer_level
+        elif (
+            fact.boot_id not in record.old_boots
+            and now - fact.age_s >= record.confirmed_at
+        ):
+            # Only an own report makes a boot id known, since peers' news
+            # have no common order. Until then nothing is sent.
+            record.peer_news = fact.boot_id
+            record.suspected_at = now
+        self._publish(fact.target_id)
+
+    def needs_probe(self, target_id: str, now: float) -> bool:
+        """Return whether a probe would allow requests that wait for one."""
+        record = self._records.get(target_id)
+        if record is None:
+            return False
+        if not record.confirmed:
+            return True
+        if record.warm:
+            return False
+        agreement = self.board.membership.agreement(now)
+        if not self._holds(target_id, record, agreement, now):
+            return False
+        limit = record.rules.limit(record.step)
+        return record.in_flight == 0 and record.unseen >= limit
+
+    def start(
+        self, target_id: str, opened_at: float, now: float
+    ) -> result.Result[Permit, errors.RoutingError]:
+        """Obtain leave to write one request to a target at once.
+
+        The caller writes the request in the same step, without waiting.
+
+        :param opened_at: when the connection was opened. A connection that
+            is younger than the last confirmation of the boot id may lead to
+            a newer process, so it cannot be used until a report comes in.
+        :return: a permit for :meth:`finish`, or
+            :exc:`~errors.RoutingError` of kind ``unconfirmed`` (a probe
+            helps), ``cold`` (another entry holds the target) or
+            ``cold-limit`` (a request must end first).
+        """
+        record = self._records.get(target_id)
+        if record is None:
+            return _refuse(target_id, 'is not listed', 'no-target')
+        if not record.confirmed or opened_at > record.confirmed_at:
+            return _refuse(target_id, 'has no confirmed boot', 'unconfirmed')
+        if not record.warm:
+            agreement = self.board.membership.agreement(now)
+            if not self._holds(target_id, record, agreement, now):
+                return _refuse(target_id, 'is cold', 'cold')
+            self._advance(target_id, record, now)
+        if not record.warm:
+            limit = record.rules.limit(record.step)
+            if record.in_flight + record.unseen >= limit:
+                return _refuse(target_id, 'warms up', 'cold-limit')
+            if record.step_started_at is None:
+                record.step_started_at = now
+        record.in_flight += 1
+        self._publish(target_id)
+        return result.Success(
+            Permit(target_id, str(record.boot_id), record.epoch)
+        )
+
+    def finish(
+        self, permit: Permit, complete: bool, healthy: bool, now: float
+    ) -> None:
+        """Account for the end of a request, once for each permit.
+
+        :param complete: whether the whole response was read. Otherwise the
+            request may still run, and counts until a report shows that the
+            target has fewer in flight.
+        :param healthy: False if the target failed or was too slow; a caller
+            that leaves says nothing against the target.
+        """
+        record = self._records.get(permit.target_id)
+        if record is None or permit.epoch != record.epoch:
+            return
+        record.in_flight -= 1
+        if not complete:
+            record.unseen += 1
+            record.unseen_since = now
+        if not healthy:
+            record.step_failed += 1
+        elif complete:
+            record.step_good += 1
+        if not record.warm:
+            self._advance(permit.target_id, record, now)
+        self._publish(permit.target_id)
+
+    def refresh(self, now: float) -> None:
+        """Publish all warm limits; call this every ``MAX_GAP_S / 2``."""
+        agreement = self.board.membership.agreement(now)
+        for target_id, record in self._records.items():
+            if not record.warm:
+                self._holds(target_id, record, agreement, now)
+            self._publish(target_id)
+
+    def is_warm(self, target_id: str) -> bool:
+        """Return whether all entries may send to a target."""
+        record = self._records.get(target_id)
+        return record is not None and record.confirmed and record.warm
+
+    def warm_capacity(self, failure_domain: str) -> int:
+        """Return the requests at once that a domain's targets can take.
+
+        A cold target counts with the limit of its ramp, as this entry or
+        the last fact of its holder has it.
+        """
+        capacity = 0
+        for target_id, record in self._records.items():
+            if record.failure_domain != failure_domain:
+                continue
+            if self.is_warm(target_id):
+                capacity += record.rules.slots
+            elif record.confirmed:
+                capacity += self._level(record) or record.peer_level
+        return capacity
+
+    def take_notices(self, now: float) -> list[TargetFact]:
+        """Return the facts to send to all peers at once, and forget them."""
+        pending = list(dict.fromkeys(self._notices))
+        self._notices.clear()
+        return self._facts(pending, now)
+
+    def recent_facts(self, now: float, repeated: int = 1) -> list[TargetFact]:
+        """Return the facts for a round of heartbeats.
+
+        :param repeated: number of unchanged targets that are added in turn,
+            so that a lost notice is made up for.
+        """
+        chosen = [
+            target_id
+            for target_id, record in self._records.items()
+            if now - record.changed_at <= _NEWS_S
+        ]
+        all_ids = list(self._records)
+        for _ in range(min(repeated, len(all_ids))):
+            self._next_repeated = (self._next_repeated + 1) % len(all_ids)
+            chosen.append(all_ids[self._next_repeated])
+        return self._facts(list(dict.fromkeys(chosen)), now)
+
+    def all_facts(self, now: float) -> list[TargetFact]:
+        """Return the facts for a peer that has just connected."""
+        return self._facts(list(self._records), now)
+
+    def _facts(
+        self, target_ids: typing.Iterable[str], now: float
+    ) -> list[TargetFact]:
+        facts = []
+        for target_id in target_ids:
+            record = self._records.get(target_id)
+            if record is None or record.boot_id is None:
+                continue
+            facts.append(
+                TargetFact(
+                    target_id=target_id,
+                    boot_id=record.boot_id,
+                    warm=record.warm,
+                    level=0 if record.warm else self._level(record),
+                    age_s=max(0.0, now - record.confirmed_at),
+                )
+            )
+        return facts
+
+    def _begin_boot(self, record: _Record, boot_id: str, now: float) -> None:
+        if record.boot_id is not None:
+            record.old_boots.append(record.boot_id)
+        record.boot_id = boot_id
+        record.changed_at = now
+        record.reporting_warming = False
+        record.peer_level = 0
+        # What ran at the old process ended with it.
+        record.epoch += 1
+        record.in_flight = 0
+        if record.held_since is not None:
+            record.unseen = 0
+        record.begin_ramp()
+
+    def _holds(
+        self,
+        target_id: str,
+        record: _Record,
+        agreement: membership.Agreement,
+        now: float,
+    ) -> bool:
+        own = self.board.membership.own
+        if not shares.holds(target_id, own, agreement, now):
+            record.held_since = None
+            return False
+        if record.held_since != agreement.since:
+            # A former holder's requests may still run. Only a report that
+            # was asked for after the wait shows how many.
+            record.held_since = agreement.since
+            record.unseen = math.inf
+            record.unseen_since = now
+            record.begin_ramp()
+        return True
+
+    def _advance(self, target_id: str, record: _Record, now: float) -> None:
+        if record.held_since is None or record.step_started_at is None:
+            return
+        if now - record.step_started_at < record.rules.step_s:
+            return
+        if record.step_failed < record.step_good * _MAX_FAILED_PART:
+            record.step += 1
+            record.changed_at = now
+        record.step_started_at = now
+        record.step_good = 0
+        record.step_failed = 0
+        complete = record.rules.limit(record.step) >= record.rules.slots
+        if complete and record.step and not record.reporting_warming:
+            record.warm_boots.append(str(record.boot_id))
+            self._notices.append(target_id)
+
+    def _level(self, record: _Record) -> int:
+        if record.held_since is None or math.isinf(record.unseen):
+            return 0
+        return record.rules.limit(record.step)
+
+    def _publish(self, target_id: str) -> None:
+        state = self.board.targets.get(target_id)
+        record = self._records.get(target_id)
+        if state is None or record is None:
+            return
+        state.boot_id = record.boot_id
+        state.suspected = not record.confirmed
+        if self.is_warm(target_id):
+            state.warm_limit = None
+        else:
+            state.warm_limit = self._level(record) if record.confirmed else 0
+
+
+def _refuse(
+    target_id: str, reason: str, kind: str
+) -> result.Result[Permit, errors.RoutingError]:
+    return result.Failure(
+        errors.RoutingError(f'target {target_id} {reason}', kind)
+    )
--- /dev/null
+++ b/packages/core/tests/test_warmup.py
@@ -0,0 +1,274 @@
+"""Warm-up of one target as one entry sees it, fault by fault."""
+
+import types
+
+import pytest
+from returns import pipeline
+
+from dragonflyslip_core import blackboard
+from dragonflyslip_core import membership
+from dragonflyslip_core import targets
+from dragonflyslip_core import warmup
+
+OWN = membership.EntryId('a', 1)
+RULES = warmup.WarmupRules(slots=4, cold_concurrency=1, warmup_s=8.0)
+
+
+class Rig:
+    """One entry, one target, and an agreement that the test sets."""
+
+    def __init__(self, since=0.0, agreed=True):
+        self.agreed = agreed
+        self.since = since
+        self.board = blackboard.Blackboard()
+        self.board.membership = types.SimpleNamespace(
+            own=OWN, agreement=self.agreement
+        )
+        self.warmup = warmup.WarmupController(self.board)
+        self.warmup.add_target(
+            targets.Target('t', 's', '', 1, 'domain-1'), RULES
+        )
+
+    def agreement(self, now):
+        view = membership.MembershipView((membership.Member(OWN),))
+        since = self.since if self.agreed else None
+        return membership.Agreement(self.agreed, view, 1, 1, 1, since, 1)
+
+    def report(self, boot, sent_at, in_flight=0, state='serving'):
+        self.warmup.observe_report(
+            't',
+            targets.LoadReport(in_flight, 4, boot, targets.ReportState(state)),
+            sent_at,
+            sent_at,
+        )
+
+    def fact(self, boot, now, warm=True, age_s=0.0):
+        self.warmup.observe_fact(
+            warmup.TargetFact('t', boot, warm, 0, age_s), now
+        )
+
+    def start(self, now, opened_at=0.0):
+        """Return the permit, or the kind of the refusal."""
+        answer = self.warmup.start('t', opened_at, now)
+        if pipeline.is_successful(answer):
+            return answer.unwrap()
+        return answer.failure().kind
+
+    def hold(self, now=10.0):
+        """Become the holder of boot b1, confirmed at ``now``."""
+        self.report('b1', now - 1)
+        self.warmup.refresh(now - 0.5)
+        self.report('b1', now)
+
+    def run_one(self, now):
+        permit = self.start(now)
+        assert isinstance(permit, warmup.Permit), permit
+        self.warmup.finish(permit, True, True, now + 0.01)
+
+
+def _unlisted(rig):
+    rig.hold()
+    rig.warmup.remove_target('t')
+
+
+def _never_seen(rig):
+    pass
+
+
+def _suspected(rig):
+    rig.hold()
+    rig.fact('b1', 10.0)
+    rig.warmup.observe_connection_lost('t', 10.5)
+
+
+def _suspected_old_answer(rig):
+    _suspected(rig)
+    rig.report('b1', 10.4)
+
+
+def _suspected_same_boot(rig):
+    _suspected(rig)
+    rig.report('b1', 10.6)
+
+
+def _new_boot(rig):
+    rig.agreed = False
+    rig.hold()
+    rig.fact('b1', 10.0)
+    rig.report('b2', 10.5)
+
+
+def _late_answer_of_old_boot(rig):
+    rig.agreed = False
+    rig.fact('b0', 9.0)
+    rig.hold()
+    rig.report('b0', 9.5)
+
+
+def _warming_again(rig):
+    rig.agreed = False
+    rig.hold()
+    rig.fact('b1', 10.0)
+    rig.report('b1', 10.5, state='warming')
+    rig.fact('b1', 10.6)
+
+
+def _peer_saw_new_boot(rig):
+    rig.hold()
+    rig.fact('b1', 10.0)
+    rig.fact('b2', 10.5, warm=False)
+
+
+def _peer_saw_older_boot(rig):
+    rig.hold()
+    rig.fact('b1', 10.0)
+    rig.fact('b0', 10.5, warm=False, age_s=5.0)
+
+
+def _peer_news_refuted(rig):
+    _peer_saw_new_boot(rig)
+    rig.report('b1', 10.6)
+
+
+def _peer_news_with_answer_from_before(rig):
+    _suspected(rig)
+    rig.fact('b2', 10.8, warm=False)
+    rig.report('b1', 10.6)
+
+
+def _not_agreed(rig):
+    rig.hold()
+    rig.agreed = False
+
+
+def _new_holder_waits(rig):
+    rig.hold()
+    rig.since = 9.0
+
+
+def _former_holder_runs(rig):
+    rig.hold()
+    rig.since = 8.0
+    rig.warmup.refresh(11.0)
+    rig.report('b1', 11.1, in_flight=1)
+
+
+def _former_holder_unknown(rig):
+    rig.hold()
+    rig.since = 8.0
+
+
+def _abandoned(rig):
+    rig.hold()
+    rig.warmup.finish(rig.start(10.5), False, False, 10.9)
+    rig.report('b1', 10.8)
+
+
+def _abandoned_then_report(rig):
+    _abandoned(rig)
+    rig.report('b1', 11.0)
+
+
+class TestStart:
+    @pytest.mark.parametrize(
+        'prepare, expected',
+        [
+            (_unlisted, 'no-target'),
+            (_never_seen, 'unconfirmed'),
+            (_suspected, 'unconfirmed'),
+            (_suspected_old_answer, 'unconfirmed'),
+            (_suspected_same_boot, 'sent'),
+            (_new_boot, 'cold'),
+            (_late_answer_of_old_boot, 'cold'),
+            (_warming_again, 'cold'),
+            (_peer_saw_new_boot, 'unconfirmed'),
+            (_peer_saw_older_boot, 'sent'),
+            (_peer_news_refuted, 'sent'),
+            (_peer_news_with_answer_from_before, 'unconfirmed'),
+            (_not_agreed, 'cold'),
+            (_new_holder_waits, 'cold'),
+            (_former_holder_runs, 'cold-limit'),
+            (_former_holder_unknown, 'cold-limit'),
+            (_abandoned, 'cold-limit'),
+            (_abandoned_then_report, 'sent'),
+        ],
+    )
+    def test_fault(self, prepare, expected):
+        rig = Rig()
+        prepare(rig)
+        answer = rig.start(11.5)
+        assert (answer if isinstance(answer, str) else 'sent') == expected
+
+    def test_connection_younger_than_the_boot_id_is_not_used(self):
+        # It may lead to a process that started since.
+        rig = Rig()
+        rig.hold()
+        rig.fact('b1', 10.0)
+        assert rig.start(11.0, opened_at=10.5) == 'unconfirmed'
+        rig.report('b1', 11.5)
+        assert rig.start(12.0, opened_at=10.5) != 'unconfirmed'
+
+    def test_new_boot_can_follow_refuted_news_of_it(self):
+        # Guards against a boot id being refused for ever because an early
+        # answer seemed to refute a peer's true news of it.
+        rig = Rig()
+        _peer_news_with_answer_from_before(rig)
+        rig.report('b2', 12.0)
+        assert rig.board.targets['t'].boot_id == 'b2'
+
+
+class TestRamp:
+    def test_limit_doubles_until_warm_and_peers_are_told(self):
+        rig = Rig()
+        rig.hold()
+        levels = []
+        now = 11.0
+        while not rig.warmup.is_warm('t') and now < 60.0:
+            rig.run_one(now)
+            levels.append(rig.board.targets['t'].warm_limit)
+            now += 1.0
+        assert list(dict.fromkeys(levels)) == [1, 2, None]
+        assert now - 11.0 == pytest.approx(RULES.warmup_s, abs=1.1)
+        rig.warmup.take_notices(now)
+        facts = rig.warmup.recent_facts(now)
+        assert [(f.boot_id, f.warm) for f in facts] == [('b1', True)]
+
+    def test_restart_twice_begins_twice(self):
+        rig = Rig()
+        rig.hold()
+        for number, boot in enumerate(['b2', 'b3']):
+            now = 20.0 + 5 * number
+            rig.run_one(now - 0.5)
+            running = rig.start(now)
+            rig.warmup.observe_connection_lost('t', now + 1)
+            rig.report(boot, now + 2)
+            rig.warmup.finish(running, False, False, now + 2)
+            assert rig.board.targets['t'].warm_limit == 1
+            first = rig.start(now + 3)
+            assert first.boot_id == boot
+            assert rig.start(now + 3) == 'cold-limit'
+            rig.warmup.finish(first, True, True, now + 3.5)
+
+    def test_failing_target_does_not_rise(self):
+        rig = Rig()
+        rig.hold()
+        for second in range(30):
+            permit = rig.start(11.0 + second)
+            rig.warmup.finish(permit, True, False, 11.5 + second)
+        assert rig.board.targets['t'].warm_limit == 1
+
+    def test_warm_capacity_of_a_domain_that_comes_back(self):
+        rig = Rig()
+        rig.hold()
+        rig.warmup.refresh(11.0)
+        assert rig.warmup.warm_capacity('domain-1') == 1
+        rig.fact('b1', 12.0)
+        assert rig.warmup.warm_capacity('domain-1') == RULES.slots
+        assert rig.warmup.warm_capacity('domain-2') == 0
+
+    def test_lost_notice_is_made_up_for(self):
+        rig = Rig()
+        rig.hold()
+        rig.warmup.take_notices(11.0)
+        facts = rig.warmup.recent_facts(100.0, repeated=1)
+        assert [fact.boot_id for fact in facts] == ['b1']
--- /dev/null
+++ b/packages/testing/src/dragonflyslip_testing/fleet.py
@@ -0,0 +1,416 @@
+"""A simulated fleet of entries and targets with faults, for cold starts.
+
+It runs the real membership and warm-up decisions of several entries in
+simulated time. What arrives at targets is counted at the targets.
+"""
+
+import dataclasses
+import heapq
+import itertools
+import math
+import random
+import typing
+
+from dragonflyslip_core import blackboard
+from dragonflyslip_core import membership
+from dragonflyslip_core import targets
+from dragonflyslip_core import warmup
+from returns import pipeline
+
+TICK_S = 0.2
+_REFRESH_S = 0.4
+_LIST_PERIOD_S = 1.0
+_MIN_STEP_S = 1e-4
+
+
+@dataclasses.dataclass
+class SimTarget:
+    """A target process that counts the requests that it runs.
+
+    :param peak_excess: most requests at once above the allowed number.
+    :param cold_peak: most requests at once while it was cold.
+    """
+
+    target_id: str
+    failure_domain: str
+    rules: warmup.WarmupRules
+    up: bool = True
+    process: int = 1
+    warm: bool = False
+    first_at: float | None = None
+    running: dict[int, float] = dataclasses.field(default_factory=dict)
+    peak_excess: int = 0
+    cold_peak: int = 0
+    cold_runs: int = 0
+
+    @property
+    def boot_id(self) -> str:
+        return f'{self.target_id}-{self.process:04d}'
+
+    def allowed(self, now: float) -> float:
+        """Return the requests at once that this process can take."""
+        if self.warm:
+            return math.inf
+        steps = 0
+        if self.first_at is not None:
+            elapsed = now - self.first_at
+            steps = int(elapsed / self.rules.step_s + 1e-9)
+        limit = self.rules.cold_concurrency << min(steps, 32)
+        if steps and limit >= self.rules.slots:
+            self.warm = True
+            return math.inf
+        return min(limit, self.rules.slots)
+
+    def receive(self, request: int, end_at: float, now: float) -> None:
+        """Run a request and record how far it exceeds what is allowed."""
+        if self.first_at is None:
+            self.first_at = now
+        self.running[request] = end_at
+        allowed = self.allowed(now)
+        if allowed < math.inf:
+            self.cold_runs += 1
+            self.cold_peak = max(self.cold_peak, len(self.running))
+            self.peak_excess = max(
+                self.peak_excess, len(self.running) - int(allowed)
+            )
+
+    def restart(self) -> None:
+        """Replace the process by a new, cold one."""
+        self.process += 1
+        self.warm = False
+        self.first_at = None
+        self.running.clear()
+
+    def report(self) -> targets.LoadReport:
+        """Return the load report of the present process."""
+        return targets.LoadReport(
+            in_flight=len(self.running),
+            slots=self.rules.slots,
+            boot_id=self.boot_id,
+        )
+
+
+@dataclasses.dataclass
+class SimConnection:
+    """A connection, which leads to one process for as long as it is open."""
+
+    opened_at: float
+    process: int
+
+
+class SimEntry:
+    """One entry process with its decisions and its connections."""
+
+    def __init__(
+        self,
+        entry_id: membership.EntryId,
+        wall: float,
+        clock_offset: float,
+        controller: type[warmup.WarmupController],
+    ):
+        self.entry_id = entry_id
+        self.clock_offset = clock_offset
+        self.board = blackboard.Blackboard()
+        self.membership = membership.Membership(entry_id, wall)
+        self.board.membership = self.membership
+        self.warmup = controller(self.board)
+        self.alive = True
+        self.paused_until = float('-inf')
+        self.inbox: list[typing.Callable[[float], None]] = []
+        self.connections: dict[str, list[SimConnection]] = {}
+        self.next_heartbeat = 0.0
+        self.next_refresh = 0.0
+        self.next_list = 0.0
+        self.list_lag_s = 0.0
+        self.probing: dict[str, float] = {}
+        self.sends = True
+
+    def clock(self, now: float) -> float:
+        """Return this process's monotonic time."""
+        return now + self.clock_offset
+
+
+class SimFleet:
+    """Entries, targets and the network between them.
+
+    Each entry sends as much as its decisions allow.
+
+    :param seed: seed of all random choices.
+    :param controller: class of the warm-up decisions.
+    :param request_s: shortest and longest time that a request runs.
+    """
+
+    def __init__(
+        self,
+        seed: int,
+        entries: int,
+        target_rules: typing.Sequence[warmup.WarmupRules],
+        controller: type[warmup.WarmupController] = warmup.WarmupController,
+        request_s: tuple[float, float] = (0.05, 6.0),
+        domains: int = 4,
+    ):
+        self.rng = random.Random(seed)
+        self.now = 100.0
+        self.controller = controller
+        self.request_s = request_s
+        self.loss = 0.0
+        self.delay_s = 0.005
+        self.blocked: set[frozenset[str]] = set()
+        self._events: list[tuple[float, int, SimEntry, typing.Any]] = []
+        self._numbers = itertools.count(1)
+        self._listings: list[tuple[float, frozenset[str]]] = []
+        self.entries: list[SimEntry] = []
+        self.targets = {
+            f't{number}': SimTarget(
+                f't{number}', f'domain-{number % domains}', rules
+            )
+            for number, rules in enumerate(target_rules)
+        }
+        names = [f'e{number:02d}' for number in range(entries)]
+        self.set_listing(names)
+        for name in names:
+            self.start_entry(name)
+
+    # Faults.
+
+    def set_listing(self, names: typing.Iterable[str]) -> None:
+        """Change what the instance list shows, after each entry's lag."""
+        self._listings.append((self.now, frozenset(names)))
+
+    def start_entry(self, name: str) -> SimEntry:
+        """Start a process of the entry ``name``."""
+        entry = SimEntry(
+            membership.EntryId(name, self.rng.getrandbits(64)),
+            wall=1_700_000_000 + self.now,
+            clock_offset=self.rng.uniform(-50, 5000),
+            controller=self.controller,
+        )
+        entry.list_lag_s = self.rng.uniform(0, 4)
+        entry.next_heartbeat = self.now + self.rng.uniform(
+            0, membership.HEARTBEAT_S
+        )
+        for target in self.targets.values():
+            entry.warmup.add_target(
+                targets.Target(
+                    target.target_id, 's', '', 1, target.failure_domain
+                ),
+                target.rules,
+            )
+        self.entries.append(entry)
+        for peer in self.running_entries():
+            # A peer that connects tells all that it knows.
+            if peer is not entry:
+                facts = peer.warmup.all_facts(peer.clock(self.now))
+                self._post(entry, self._facts_handler(entry, facts))
+        return entry
+
+    def kill_entry(self, entry: SimEntry) -> None:
+        """End a process; what it has sent to targets goes on."""
+        entry.alive = False
+
+    def pause_entry(self, entry: SimEntry, seconds: float) -> None:
+        """Stop a process for a time; its input waits."""
+        entry.paused_until = max(entry.paused_until, self.now + seconds)
+
+    def restart_target(self, target: SimTarget, silent: bool = False) -> None:
+        """Restart a target; its connections close, unless silently."""
+        target.restart()
+        for entry in self.running_entries():
+            closed = entry.connections.get(target.target_id)
+            if closed and not silent:
+                self._post(entry, self._lost_handler(entry, target.target_id))
+
+    def set_warm(self, target_ids: typing.Iterable[str] = ()) -> None:
+        """Make targets warm and known as such, as after long uptime.
+
+        :param target_ids: the targets, by default all.
+        """
+        chosen = [self.targets[name] for name in target_ids or self.targets]
+        for entry in self.running_entries():
+            for target in chosen:
+                target.warm = True
+                clock = entry.clock(self.now)
+                entry.warmup.observe_report(
+                    target.target_id, target.report(), clock, clock
+                )
+                fact = warmup.TargetFact(
+                    target.target_id, target.boot_id, True, 0, 0.0
+                )
+                entry.warmup.observe_fact(fact, clock)
+
+    # Progress.
+
+    def running_entries(self) -> list[SimEntry]:
+        """Return the entry processes that are not dead."""
+        return [entry for entry in self.entries if entry.alive]
+
+    def excess(self) -> int:
+        """Return the most requests above the allowed number anywhere."""
+        return max(target.peak_excess for target in self.targets.values())
+
+    def run(self, seconds: float) -> None:
+        """Advance the simulated time."""
+        end = self.now + seconds
+        while self.now < end:
+            self.now += TICK_S
+            self.step()
+
+    def step(self) -> None:
+        """Let everything that is due at the present time happen."""
+        for target in self.targets.values():
+            ended = [r for r, at in target.running.items() if at <= self.now]
+            for request in ended:
+                del target.running[request]
+        while self._events and self._events[0][0] <= self.now:
+            _, _, entry, handler = heapq.heappop(self._events)
+            entry.inbox.append(handler)
+        order = self.running_entries()
+        self.rng.shuffle(order)
+        for entry in order:
+            if entry.paused_until > self.now:
+                continue
+            if self.rng.random() < 0.5:
+                # A step that was about to write may run before input is
+                # read, also just after a pause.
+                self.send_all(entry)
+            inbox, entry.inbox = entry.inbox, []
+            for handler in inbox:
+                handler(entry.clock(self.now))
+            self._work(entry)
+            self.send_all(entry)
+
+    def send_all(self, entry: SimEntry) -> None:
+        """Send to every target whatever this entry may send."""
+        if not entry.sends:
+            return
+        for target in self.targets.values():
+            self.send_one(entry, target)
+
+    def send_one(self, entry: SimEntry, target: SimTarget) -> bool:
+        """Send one request if the entry's decisions allow it."""
+        if not target.up:
+            return False
+        self.now += _MIN_STEP_S
+        clock = entry.clock(self.now)
+        pool = entry.connections.setdefault(target.target_id, [])
+        if not pool or self.rng.random() < 0.5:
+            pool.append(SimConnection(clock, target.process))
+            del pool[:-4]
+        connection = self.rng.choice([pool[-1], self.rng.choice(pool)])
+        permit = entry.warmup.start(
+            target.target_id, connection.opened_at, clock
+        )
+        if not pipeline.is_successful(permit):
+            return False
+        if connection.process != target.process:
+            pool.remove(connection)
+            entry.warmup.finish(permit.unwrap(), False, False, clock)
+            entry.warmup.observe_connection_lost(target.target_id, clock)
+            return True
+        request = next(self._numbers)
+        end_at = self.now + self.rng.uniform(*self.request_s)
+        target.receive(request, end_at, self.now)
+        process = target.process
+        patience = self.rng.choice([0.3, 30.0])
+
+        def answer(at: float) -> None:
+            if target.process == process:
+                entry.warmup.observe_report(
+                    target.target_id, target.report(), clock, at
+                )
+                entry.warmup.finish(permit.unwrap(), True, True, at)
+            else:
+                entry.warmup.finish(permit.unwrap(), False, False, at)
+                entry.warmup.observe_connection_lost(target.target_id, at)
+
+        def give_up(at: float) -> None:
+            entry.warmup.finish(permit.unwrap(), False, True, at)
+
+        if end_at - self.now > patience:
+            self._post(entry, give_up, patience)
+        else:
+            self._post(entry, answer, end_at - self.now + self.delay_s)
+        return True
+
+    # Private parts of a step.
+
+    def _post(self, entry, handler, delay_s: float | None = None) -> None:
+        due = self.now + (self.delay_s if delay_s is None else delay_s)
+        heapq.heappush(
+            self._events, (due, next(self._numbers), entry, handler)
+        )
+
+    def _work(self, entry: SimEntry) -> None:
+        clock = entry.clock(self.now)
+        if self.now >= entry.next_list:
+            entry.next_list = self.now + _LIST_PERIOD_S
+            seen = [
+                names
+                for at, names in self._listings
+                if at <= self.now - entry.list_lag_s
+            ]
+            names = seen[-1] if seen else self._listings[0][1]
+            entry.membership.observe_list(names, clock)
+        if self.now >= entry.next_refresh:
+            entry.next_refresh = self.now + _REFRESH_S
+            entry.warmup.refresh(clock)
+            for target in self.targets.values():
+                self._probe(entry, target)
+        notices = entry.warmup.take_notices(clock)
+        if notices:
+            self._tell(entry, None, notices)
+        if self.now >= entry.next_heartbeat:
+            entry.next_heartbeat = self.now + membership.HEARTBEAT_S
+            report = entry.membership.next_report(clock)
+            self._tell(entry, report, entry.warmup.recent_facts(clock))
+
+    def _tell(self, entry, report, facts) -> None:
+        for peer in self.running_entries():
+            if peer is entry:
+                continue
+            link = frozenset((entry.entry_id.name, peer.entry_id.name))
+            if link in self.blocked or self.rng.random() < self.loss:
+                continue
+            delay_s = self.delay_s * self.rng.uniform(0.5, 1.5)
+            if report is not None:
+                echo = entry.membership.echo_for(peer.entry_id.name)
+                sent = dataclasses.replace(report, echo=echo)
+                self._post(peer, self._report_handler(peer, sent), delay_s)
+            self._post(peer, self._facts_handler(peer, facts), delay_s)
+
+    def _probe(self, entry: SimEntry, target: SimTarget) -> None:
+        clock = entry.clock(self.now)
+        outstanding = entry.probing.get(target.target_id, float('-inf'))
+        pool = entry.connections.get(target.target_id, [])
+        waits = any(
+            connection.opened_at > clock - _REFRESH_S for connection in pool
+        )
+        if self.now < outstanding or not target.up:
+            return
+        if not waits and not entry.warmup.needs_probe(target.target_id, clock):
+            return
+        entry.probing[target.target_id] = self.now + 2.0
+        # The answer leaves the target now and arrives later.
+        report = target.report()
+
+        def answer(at: float) -> None:
+            entry.probing.pop(target.target_id, None)
+            entry.warmup.observe_report(target.target_id, report, clock, at)
+
+        self._post(entry, answer, self.delay_s)
+
+    @staticmethod
+    def _report_handler(peer: SimEntry, report: membership.MemberReport):
+        return lambda at: peer.membership.observe_heartbeat(report, at)
+
+    @staticmethod
+    def _facts_handler(peer: SimEntry, facts: list[warmup.TargetFact]):
+        def handle(at: float) -> None:
+            for fact in facts:
+                peer.warmup.observe_fact(fact, at)
+
+        return handle
+
+    @staticmethod
+    def _lost_handler(entry: SimEntry, target_id: str):
+        return lambda at: entry.warmup.observe_connection_lost(target_id, at)
