Drive the entry by the coordination library

Cause: the thin path chose among two targets and knew nothing of peers, claims, cold targets or crashes.

Change: a dispatcher grants targets by policy, domain split, health, limits and queue; each write is checked in its own step against freshness, withdrawal, suspicion and the warm-up permit. Watch connections confirm boot ids within the probe budget.

Ruled out: passing a call on while its claim is undecided; polling a health endpoint for restarts, which sees them late.

--- a/packages/core/src/dragonflyslip_core/membership.py
+++ b/packages/core/src/dragonflyslip_core/membership.py
@@ -234,6 +234,15 @@
         peer = self._peers.get(name)
         return 0 if peer is None else peer.report.sequence
 
+    def proven_at(self, name: str) -> float:
+        """Return a time that precedes the last heartbeat of an entry.
+
+        It is the time at which this entry sent the heartbeat that the other
+        one acknowledged; ``-inf`` if there was none.
+        """
+        peer = self._peers.get(name)
+        return float('-inf') if peer is None else peer.proven_at
+
     def view(self, now: float) -> MembershipView:
         """Return the live entries."""
         members = [Member(self.own, self.draining)]
--- a/packages/entry/src/dragonflyslip_entry/calls.py
+++ b/packages/entry/src/dragonflyslip_entry/calls.py
@@ -7,6 +7,7 @@
 
 from dragonflyslip_core import outcomes
 from dragonflyslip_core import profiles
+from dragonflyslip_core import suspects
 from dragonflyslip_entry import headers
 
 _IDEMPOTENT_METHODS = frozenset({'GET', 'HEAD', 'OPTIONS', 'PUT', 'DELETE'})
@@ -25,6 +26,10 @@
     :param first_attempt: whether the caller marked it as its first attempt.
     :param retried: whether an entry on the way has repeated it.
     :param has_body: whether a body follows the headers.
+    :param fingerprint: identifies the request among crash marks.
+    :param written: whether an attempt has been written to a target that has
+        not said that it did not run it.
+    :param lost: whether such an attempt ended without a response.
     """
 
     service: str
@@ -42,6 +47,9 @@
     has_body: bool
     expects_continue: bool
     content_length: int | None
+    fingerprint: str = ''
+    written: bool = False
+    lost: bool = False
 
     @classmethod
     def from_request(
@@ -82,8 +90,17 @@
             content_length=request.content_length,
         )
 
+    def stream_fingerprint(self) -> suspects.StreamFingerprint:
+        """Return the fingerprint to feed with the body as it passes."""
+        path, _, query = self.path.partition('?')
+        return suspects.StreamFingerprint(
+            self.service, self.method, path, query, self.content_length
+        )
+
     def refused_outcome(self) -> outcomes.Outcome:
-        """Return the outcome to tell before this call held a claim."""
+        """Return the outcome to tell while this call holds no claim."""
+        if self.written:
+            return outcomes.Outcome.UNKNOWN
         if self.key is None:
             return outcomes.Outcome.NOT_RUN
         return outcomes.keyed_outcome(self.first_attempt)
--- a/packages/entry/src/dragonflyslip_entry/daemon.py
+++ b/packages/entry/src/dragonflyslip_entry/daemon.py
@@ -1,28 +1,49 @@
 """One entry: its controllers, servers and lifetime."""
 
 import asyncio
+import collections.abc
 import contextlib
 import random
 import secrets
 import signal
+import time
 import typing
 
 import aiohttp
 from aiohttp import web
 
+from dragonflyslip_core import answers
 from dragonflyslip_core import blackboard
+from dragonflyslip_core import freshness
+from dragonflyslip_core import membership
+from dragonflyslip_core import suspects
+from dragonflyslip_core import warmup
 from dragonflyslip_entry import admin
+from dragonflyslip_entry import attempts
 from dragonflyslip_entry import caller_server
+from dragonflyslip_entry import claim_controller
 from dragonflyslip_entry import config_controller
 from dragonflyslip_entry import connections
 from dragonflyslip_entry import dispatcher
+from dragonflyslip_entry import fleet_controller
+from dragonflyslip_entry import keyed_calls
 from dragonflyslip_entry import logs
 from dragonflyslip_entry import metrics
+from dragonflyslip_entry import peer_controller
+from dragonflyslip_entry import probe_controller
 from dragonflyslip_entry import proxy
+from dragonflyslip_entry import service_control
 from dragonflyslip_entry import settings
 from dragonflyslip_entry import target_controller
+from dragonflyslip_entry import watches
 import dragonflyslip_platform as platform
 
+_LOG_TIMEOUT_S = 5.0
+# An entry whose targets cannot be probed is ready after this time all the
+# same: its callers then hear what is wrong.
+_READY_AFTER_S = 15.0
+_READY_POLL_S = 0.05
+
 
 class Entry:
     """An entry instance.
@@ -30,6 +51,7 @@
     :param options: validated settings.
     :param log: the log service; made from the settings if not given.
     :param instances: the instance list, likewise.
+    :param clock: returns Unix seconds.
     """
 
     def __init__(
@@ -37,73 +59,194 @@
         options: settings.Settings,
         log: platform.LogService | None = None,
         instances: platform.InstanceList | None = None,
+        clock: collections.abc.Callable[[], float] = time.time,
     ):
         self.options = options
+        self.clock = clock
         self.session = aiohttp.ClientSession()
-        log = log or platform.HttpLogService(self.session, options.log_url)
-        instances = instances or platform.HttpInstanceList(
+        self.log = log or platform.HttpLogService(
+            self.session, options.log_url, _LOG_TIMEOUT_S
+        )
+        self.instances = instances or platform.HttpInstanceList(
             self.session, options.instances_url
         )
-        self.incarnation = secrets.randbits(64)
-        self.board = blackboard.Blackboard()
+        self.loop = asyncio.get_running_loop()
+        self.stopping = asyncio.Event()
+        self.stop_now = asyncio.Event()
+        self._tasks: list[asyncio.Task[None]] = []
+        self._ready_by = float('inf')
+        self._lifted: dict[str, int] = {}
+        self._followed = -1
+        self._make_board()
+        self._make_parts()
+
+    def _make_board(self) -> None:
+        incarnation = secrets.randbits(64)
+        own = membership.EntryId(self.options.name, incarnation)
+        self.rng = random.Random(incarnation)
+        self.board = blackboard.Blackboard(
+            freshness=freshness.Freshness(own.name),
+            membership=membership.Membership(own, self.clock()),
+            suspects=suspects.SuspectTable(),
+        )
         self.measures = metrics.Metrics(self.board)
+
+    def _make_parts(self) -> None:
+        board, options = self.board, self.options
         self.pools = connections.ConnectionTable()
-        self.dispatcher = dispatcher.Dispatcher(
-            self.board, random.Random(self.incarnation)
+        self.watching = watches.WatchTable()
+        self.warmups = warmup.WarmupController(board)
+        self.services = service_control.ServiceTable(
+            board, options.failure_domain
         )
-        self.proxy = proxy.Proxy(
-            self.board, self.dispatcher, self.pools, self.measures
+        self.stored = answers.AnswerStore()
+        self.config = config_controller.ConfigController(
+            board,
+            self.log,
+            options.log_retention_s,
+            self.clock,
+            self._follow_config,
+        )
+        self.peers = peer_controller.PeerController(
+            board,
+            self.warmups,
+            self.stored,
+            options.failure_domain,
+            self.config.adopt_snapshot,
+        )
+        self.claiming = claim_controller.ClaimController(
+            board, self.log, options.log_retention_s, self.clock
+        )
+        self.fleet = fleet_controller.FleetController(
+            board,
+            self.warmups,
+            self.services,
+            self.pools,
+            self.claiming,
+            self.peers,
+            options.append_rate,
+        )
+        self.probing = probe_controller.ProbeController(
+            board,
+            self.services,
+            self.watching,
+            self.warmups,
+            self.peers.notify,
         )
-        self.config = config_controller.ConfigController(self.board, log)
         self.targets = target_controller.TargetController(
-            self.board, instances, self.pools
+            board,
+            self.instances,
+            self.services,
+            self.pools,
+            self.watching,
+            self.warmups,
+            self.peers.links,
         )
-        self.admin = admin.Admin(
-            self.measures, self.ready, self.state, self.suspects
+        self._make_proxy()
+
+    def _make_proxy(self) -> None:
+        board = self.board
+        self.dispatcher = dispatcher.Dispatcher(
+            board,
+            self.services,
+            self.warmups,
+            self.watching,
+            self.fleet.may_serve,
+            self.rng,
+        )
+        self.proxy = proxy.Proxy(
+            board,
+            self.dispatcher,
+            attempts.AttemptRunner(
+                board, self.dispatcher, self.pools, self.probing, self.peers
+            ),
+            keyed_calls.KeyedCalls(
+                self.claiming, self.stored, self.peers, self.clock
+            ),
+            self.measures,
+            self.clock,
+            self.rng,
         )
-        self.stopping = asyncio.Event()
-        self.stop_now = asyncio.Event()
         self.server = caller_server.CallerServer(self.proxy.handle)
         self.proxy.busy = self.server.busy
-        self._tasks: list[asyncio.Task[None]] = []
-
-    @property
-    def entry_id(self) -> str:
-        """Name and incarnation, unique among all processes."""
-        return f'{self.options.name}/{self.incarnation:016x}'
+        self.admin = admin.Admin(
+            self.measures, self.ready, self.state, self.suspects
+        )
 
     def ready(self) -> bool:
         """Return whether callers should be sent here."""
+        now = self.loop.time()
         return (
             self.config.caught_up.is_set()
             and self.targets.listed.is_set()
             and not self.stopping.is_set()
+            and self.fleet.may_serve(now)
+            and (now >= self._ready_by or self._targets_known())
         )
 
+    def _targets_known(self) -> bool:
+        """Whether at least half of the targets have been probed."""
+        states = self.board.targets.values()
+        known = sum(not state.suspected for state in states)
+        return 2 * known >= len(states)
+
     def state(self) -> dict[str, typing.Any]:
         """Return the members of ``/state``."""
+        now = self.loop.time()
         config = self.board.config
+        agreement = self.board.membership.agreement(now)
         return {
-            'entry_id': self.entry_id,
+            'entry_id': str(self.board.membership.own),
             'ready': self.ready(),
             'config': {
                 'through': 0 if config is None else config.through,
                 'digest': '' if config is None else config.digest(),
             },
-            'isolated': False,
-            'view': [],
+            'isolated': not self.fleet.may_serve(now),
+            'view': [str(m.entry_id) for m in agreement.view.members],
+            'agreed': agreement.agreed,
+            'share': self.fleet.share,
+            'calls_in_flight': self.proxy.in_flight,
+            'targets': {
+                target_id: {
+                    'boot_id': state.boot_id,
+                    'suspected': state.suspected,
+                    'warm_limit': state.warm_limit,
+                    'own_in_flight': state.own_in_flight,
+                }
+                for target_id, state in self.board.targets.items()
+            },
         }
 
     def suspects(self) -> dict[str, typing.Any]:
         """Return the members of ``/suspects``."""
-        return {'suspects': []}
+        return {
+            'suspects': [
+                {
+                    'fingerprint': suspect.fingerprint,
+                    'crashes': list(suspect.target_ids),
+                    'expires_in_s': suspect.expires_in_s,
+                }
+                for suspect in self.board.suspects.list(self.loop.time())
+            ]
+        }
+
+    def _follow_config(self) -> None:
+        """Apply a change of the configuration to what depends on it."""
+        now = self.loop.time()
+        for fingerprint, version in self.board.config.lifted_suspects.items():
+            if self._lifted.get(fingerprint) != version:
+                self._lifted[fingerprint] = version
+                self.board.suspects.lift(fingerprint, now)
+        if self.board.config.through != self._followed:
+            self._followed = self.board.config.through
+            self.targets.refresh_profiles()
 
     async def run(self) -> None:
         """Serve until SIGTERM, then end calls in flight and return."""
         self._install_signals()
         admin_runner = await self._listen_admin()
-        self._start(self.config.run())
-        self._start(self.targets.run())
+        await self._start_controllers()
         await self._wait_until_ready()
         listener = await self._listen_callers()
         logs.changed('entry is ready', listen=self.options.listen)
@@ -113,15 +256,26 @@
         await self._close(admin_runner)
         logs.changed('entry has stopped')
 
+    async def _start_controllers(self) -> None:
+        host, port = settings.split_endpoint(self.options.peer_listen)
+        await self.peers.links.listen(host, port)
+        for controller in (
+            self.config.run(),
+            self.targets.run(),
+            self.peers.run(),
+            self.fleet.run(),
+            self.claiming.run_reader(),
+            self.claiming.run_appender(),
+            self.probing.run(),
+            self.dispatcher.run(),
+            self.pools.run(),
+        ):
+            self._start(controller)
+
     async def _wait_until_ready(self) -> None:
-        waits = [self.config.caught_up.wait(), self.targets.listed.wait()]
-        ready = asyncio.gather(*waits)
-        stopping = asyncio.ensure_future(self.stopping.wait())
-        await asyncio.wait(
-            [ready, stopping], return_when=asyncio.FIRST_COMPLETED
-        )
-        ready.cancel()
-        stopping.cancel()
+        self._ready_by = self.loop.time() + _READY_AFTER_S
+        while not self.ready() and not self.stopping.is_set():
+            await asyncio.sleep(_READY_POLL_S)
 
     async def _drain(self, listener: asyncio.Server) -> None:
         stop_now = asyncio.ensure_future(self.stop_now.wait())
@@ -129,6 +283,7 @@
         # until then callers are still served.
         await asyncio.wait([stop_now], timeout=self.options.drain_delay_s)
         self.proxy.draining = True
+        self.board.membership.draining = True
         listener.close()
         self.server.close_idle()
         idle = asyncio.ensure_future(self.proxy.idle.wait())
@@ -144,6 +299,8 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self.server.shutdown(timeout=0.0)
         await admin_runner.cleanup()
+        await self.peers.links.close()
+        await self.watching.close()
         await self.pools.close()
         await self.session.close()
 
--- /dev/null
+++ b/packages/entry/src/dragonflyslip_entry/fleet_controller.py
@@ -0,0 +1,94 @@
+"""Applies membership: shares of fleet-wide limits, and the warm-up."""
+
+import asyncio
+
+from dragonflyslip_core import blackboard
+from dragonflyslip_core import freshness
+from dragonflyslip_core import membership
+from dragonflyslip_core import shares
+from dragonflyslip_core import warmup
+from dragonflyslip_entry import claim_controller
+from dragonflyslip_entry import connections
+from dragonflyslip_entry import logs
+from dragonflyslip_entry import peer_controller
+from dragonflyslip_entry import service_control
+
+POLL_S = membership.MAX_GAP_S / 4
+
+
+class FleetController:
+    """Evaluates the agreement between entries at a steady rate.
+
+    :param append_rate: claim appends a second of all entries together.
+    """
+
+    def __init__(
+        self,
+        board: blackboard.Blackboard,
+        warmups: warmup.WarmupController,
+        services: service_control.ServiceTable,
+        pools: connections.ConnectionTable,
+        claiming: claim_controller.ClaimController,
+        peers: peer_controller.PeerController,
+        append_rate: float,
+    ):
+        self.board = board
+        self.warmups = warmups
+        self.services = services
+        self.pools = pools
+        self.claiming = claiming
+        self.peers = peers
+        self.append_rate = append_rate
+        self.share = -1.0
+        self.agreed = False
+        self.isolated = False
+        self.loop = asyncio.get_running_loop()
+
+    async def run(self) -> None:
+        """Evaluate for ever."""
+        while True:
+            self.step(self.loop.time())
+            await asyncio.sleep(POLL_S)
+
+    def step(self, now: float) -> None:
+        """Evaluate once."""
+        agreement = self.board.membership.agreement(now)
+        self._apply_share(
+            shares.rate_share_of(
+                1.0, agreement.last_divisor, agreement.agreed
+            ),
+            now,
+        )
+        self.warmups.refresh(now)
+        self.peers.send_facts()
+        self._note_changes(agreement.agreed, now)
+
+    def may_serve(self, now: float) -> bool:
+        """Return whether the configuration is current enough for new work."""
+        fresh = self.board.freshness
+        if now - fresh.read_at < freshness.FRESH_S:
+            return True
+        return fresh.may_serve(now, self.board.membership.population(now))
+
+    def _apply_share(self, share: float, now: float) -> None:
+        if share == self.share:
+            return
+        self.share = share
+        self.pools.set_share(share)
+        self.services.set_share(share, now)
+        self.claiming.set_rate(self.append_rate * share)
+
+    def _note_changes(self, agreed: bool, now: float) -> None:
+        if agreed != self.agreed:
+            self.agreed = agreed
+            logs.changed(
+                'entries agree on membership'
+                if agreed
+                else 'entries do not agree on membership'
+            )
+        isolated = not self.may_serve(now)
+        if isolated != self.isolated:
+            self.isolated = isolated
+            logs.changed(
+                'entry is isolated' if isolated else 'entry is not isolated'
+            )
--- /dev/null
+++ b/packages/entry/src/dragonflyslip_entry/keyed_calls.py
@@ -0,0 +1,215 @@
+"""Calls that run at most once, by a claim on the log."""
+
+import asyncio
+import collections.abc
+import hashlib
+
+from returns import result
+
+from dragonflyslip_core import answers
+from dragonflyslip_core import claims
+from dragonflyslip_core import outcomes
+from dragonflyslip_core import suspects
+from dragonflyslip_entry import calls
+from dragonflyslip_entry import claim_controller
+from dragonflyslip_entry import peer_controller
+import dragonflyslip_wire as wire
+
+_FINGERPRINT_BYTES = 8
+_LOG_RETRY_AFTER_S = 5
+
+# Sends a call whose claim is held and returns the response or a refusal;
+# the claim is marked as sent in the step of the write.
+Run = collections.abc.Callable[
+    [claims.CallClaim], collections.abc.Awaitable['Ran']
+]
+Ran = answers.Answer | outcomes.Refusal | None
+
+
+class KeyedCalls:
+    """Decides what a keyed call gets: a run, a repeated answer, a refusal.
+
+    :param claiming: the claims of this entry.
+    :param stored: answers of calls that this entry has run.
+    :param peers: asked for answers of other entries.
+    """
+
+    def __init__(
+        self,
+        claiming: claim_controller.ClaimController,
+        stored: answers.AnswerStore,
+        peers: peer_controller.PeerController,
+        clock: collections.abc.Callable[[], float],
+    ):
+        self.claiming = claiming
+        self.stored = stored
+        self.peers = peers
+        self.clock = clock
+        self.loop = asyncio.get_running_loop()
+
+    async def handle(self, call: calls.Call, run: Run) -> Ran:
+        """Handle one call.
+
+        :param run: called at most once, with the held claim. It returns
+            None if it has sent the response to the caller itself.
+        :return: what is left to send to the caller.
+        """
+        parsed = claims.parse_key(
+            call.key or '', self.clock(), call.profile.key_lifetime_s
+        )
+        if isinstance(parsed, result.Failure):
+            return _bad_key(call, parsed.failure().message)
+        key = parsed.unwrap()
+        fingerprint = request_fingerprint(call)
+        known = await self._known(call, key, fingerprint)
+        if known is not None:
+            return known
+        return await self._claim_and_run(call, key, fingerprint, run)
+
+    async def _known(
+        self, call: calls.Call, key: claims.Key, fingerprint: bytes
+    ) -> Ran:
+        now = self.loop.time()
+        found = self.stored.find(call.service, key.key_hash, fingerprint, now)
+        match found:
+            case answers.Mismatch():
+                return _mismatch()
+            case answers.StoredAnswer():
+                return found.answer
+            case answers.RunningCall():
+                return await self._join(call, found)
+        table = self.claiming.table
+        if table is None or not table.covers(key):
+            return _log_refusal(call, 'claims-unread')
+        claimed = table.find(call.service, key)
+        if claimed is not None and claimed.holder is not None:
+            if claimed.fingerprint != fingerprint:
+                return _mismatch()
+            return await self._ask_holder(call, key, claimed.holder)
+        if not self.claiming.available(now):
+            return _log_refusal(call, 'log-unavailable')
+        return None
+
+    async def _claim_and_run(
+        self,
+        call: calls.Call,
+        key: claims.Key,
+        fingerprint: bytes,
+        run: Run,
+    ) -> Ran:
+        service = call.service
+        self.stored.begin(service, key.key_hash, fingerprint)
+        answer: Ran = None
+        try:
+            claim = await self._claim(call, key, fingerprint)
+            if isinstance(claim, outcomes.Refusal):
+                return claim
+            if claim.state is claims.ClaimState.HELD:
+                answer = await run(claim)
+                return answer
+        finally:
+            self.stored.finish(
+                service,
+                key.key_hash,
+                answer if isinstance(answer, answers.Answer) else None,
+                self.loop.time(),
+            )
+        if claim.holder is None:
+            return _unknown('the call may have run at another entry')
+        return await self._ask_holder(call, key, claim.holder)
+
+    async def _claim(
+        self, call: calls.Call, key: claims.Key, fingerprint: bytes
+    ) -> claims.CallClaim | outcomes.Refusal:
+        try:
+            async with asyncio.timeout_at(call.deadline_at):
+                claim = await self.claiming.claim(
+                    call.service, key, fingerprint, call.first_attempt
+                )
+        except TimeoutError:
+            # The claim is abandoned: it may be on the log, but this entry
+            # will not send the call.
+            return _log_refusal(call, 'claim-timeout')
+        if claim is None:
+            return _log_refusal(call, 'claims-overloaded')
+        return claim
+
+    async def _join(
+        self, call: calls.Call, running: answers.RunningCall
+    ) -> Ran:
+        future: asyncio.Future[answers.Answer | None] = (
+            self.loop.create_future()
+        )
+
+        def finished(answer: answers.Answer | None) -> None:
+            if not future.done():
+                future.set_result(answer)
+
+        if not self.stored.join(running, finished):
+            return _unknown('too many repeats of the call wait')
+        try:
+            async with asyncio.timeout_at(call.deadline_at):
+                answer = await future
+        except TimeoutError:
+            return _unknown('the call is still running')
+        return answer or _unknown('the response cannot be repeated')
+
+    async def _ask_holder(
+        self, call: calls.Call, key: claims.Key, holder: claims.Holder
+    ) -> Ran:
+        reply = await self.peers.query_answer(
+            holder.entry_id,
+            call.service,
+            key.key_hash,
+            holder.claim_id,
+            max(0.0, call.deadline_at - self.loop.time()),
+        )
+        if reply is None or reply.state is not wire.AnswerState.STORED:
+            return _unknown('the call has been claimed at another entry')
+        return answers.Answer(reply.status, reply.headers, reply.body)
+
+
+def request_fingerprint(call: calls.Call) -> bytes:
+    """Return 8 bytes that tell requests with one key apart."""
+    digest = hashlib.blake2b(digest_size=_FINGERPRINT_BYTES)
+    for text in (call.method, call.path, str(call.content_length)):
+        data = text.encode('utf-8', 'surrogateescape')
+        digest.update(len(data).to_bytes(4, 'little') + data)
+    return digest.digest()
+
+
+def crash_fingerprint(call: calls.Call) -> str:
+    """Return the fingerprint of a keyed call among crash marks."""
+    return suspects.key_fingerprint(call.service, call.key or '')
+
+
+def _bad_key(call: calls.Call, message: str) -> outcomes.Refusal:
+    # A key that is too old may have run while it was valid.
+    return outcomes.Refusal(
+        400, call.refused_outcome(), 'bad-idempotency-key', message
+    )
+
+
+def _mismatch() -> outcomes.Refusal:
+    return outcomes.Refusal(
+        422,
+        outcomes.Outcome.NOT_RUN,
+        'idempotency-key-reused',
+        'the idempotency key was used for another request',
+    )
+
+
+def _unknown(detail: str) -> outcomes.Refusal:
+    return outcomes.Refusal(
+        409, outcomes.Outcome.UNKNOWN, 'idempotency-key-claimed', detail
+    )
+
+
+def _log_refusal(call: calls.Call, kind: str) -> outcomes.Refusal:
+    return outcomes.Refusal(
+        503,
+        call.refused_outcome(),
+        kind,
+        'the call cannot be claimed now; repeat it with the same key',
+        retry_after_s=_LOG_RETRY_AFTER_S,
+    )
--- a/packages/entry/src/dragonflyslip_entry/metrics.py
+++ b/packages/entry/src/dragonflyslip_entry/metrics.py
@@ -1,5 +1,7 @@
 """Metrics of one entry."""
 
+import typing
+
 import prometheus_client
 from prometheus_client import core as metrics_core
 
@@ -18,6 +20,8 @@
 
     def __init__(self, board: blackboard.Blackboard):
         self.registry = prometheus_client.CollectorRegistry()
+        self._counters: dict[tuple[str, str], typing.Any] = {}
+        self._histograms: dict[str, typing.Any] = {}
         self.registry.register(_CounterCollector(board))
         self.calls = prometheus_client.Counter(
             'dragonflyslip_calls',
@@ -38,11 +42,30 @@
             buckets=_LATENCY_BUCKETS_S,
             registry=self.registry,
         )
-        self.in_flight = prometheus_client.Gauge(
-            'dragonflyslip_calls_in_flight',
-            'Calls in flight',
-            registry=self.registry,
-        )
+
+    def observe(self, service: str, status: int, seconds: float) -> None:
+        """Count a call that was answered by a target."""
+        self._call_counter(service, f'{status // 100}xx').inc()
+        self._latency_of(service).observe(seconds)
+
+    def count_refusal(self, kind: str, outcome: str) -> None:
+        """Count a call that this entry refused."""
+        self.refusals.labels(kind, outcome).inc()
+
+    def _call_counter(self, service, result):
+        # Looking up labels for each call takes longer than counting.
+        key = (service, result)
+        counter = self._counters.get(key)
+        if counter is None:
+            counter = self._counters[key] = self.calls.labels(*key)
+        return counter
+
+    def _latency_of(self, service):
+        histogram = self._histograms.get(service)
+        if histogram is None:
+            histogram = self.latency.labels(service)
+            self._histograms[service] = histogram
+        return histogram
 
     def render(self) -> bytes:
         """Return the text that ``/metrics`` serves."""
--- /dev/null
+++ b/packages/entry/src/dragonflyslip_entry/peer_links.py
@@ -0,0 +1,164 @@
+"""TCP connections between entries, and the frames on them."""
+
+import asyncio
+import collections.abc
+import typing
+
+from dragonflyslip_core import blackboard
+from dragonflyslip_core import membership
+import dragonflyslip_wire as wire
+
+CONNECT_TIMEOUT_S = 1.0
+# A peer that does not read for this long gets a new connection.
+_MAX_BUFFERED_BYTES = 8 * wire.MAX_FRAME_BYTES
+
+OnMessage = collections.abc.Callable[['PeerLink', typing.Any], None]
+
+
+class PeerLink(asyncio.Protocol):
+    """One connection to a peer, in either direction.
+
+    :param on_message: called with the link and each message.
+    """
+
+    def __init__(self, board: blackboard.Blackboard, on_message: OnMessage):
+        self.board = board
+        self.on_message = on_message
+        self.decoder = wire.FrameDecoder()
+        self.transport: asyncio.Transport | None = None
+        self.peer: membership.EntryId | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport."""
+        self.transport = typing.cast(asyncio.Transport, transport)
+
+    def data_received(self, data: bytes) -> None:
+        """Handle the messages that the bytes complete."""
+        try:
+            for message in self.decoder.feed(data):
+                self.on_message(self, message)
+        except wire.WireError:
+            self.board.count('peer_bad_frames')
+            self.close()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Forget the transport."""
+        self.transport = None
+
+    @property
+    def open(self) -> bool:
+        """Whether messages can be sent."""
+        return self.transport is not None and not self.transport.is_closing()
+
+    def send(self, frame: bytes) -> bool:
+        """Send a frame; return False if the link is closed or stuck."""
+        transport = self.transport
+        if transport is None or transport.is_closing():
+            return False
+        if transport.get_write_buffer_size() > _MAX_BUFFERED_BYTES:
+            self.board.count('peer_links_stuck')
+            transport.abort()
+            return False
+        transport.write(frame)
+        self.board.count('peer_bytes_sent', len(frame))
+        return True
+
+    def close(self) -> None:
+        """Close the connection."""
+        if self.transport is not None:
+            self.transport.abort()
+
+
+class PeerLinks:
+    """Links to all other entries that are listed.
+
+    This entry sends over the links that it opened and receives over those
+    that were opened to it, and replies on the link a message came on.
+
+    :param hello: first message on each link.
+    """
+
+    def __init__(
+        self,
+        board: blackboard.Blackboard,
+        hello: wire.Hello,
+        on_message: OnMessage,
+    ):
+        self.board = board
+        self.hello = hello
+        self.on_message = on_message
+        self.outgoing: dict[str, PeerLink] = {}
+        self.endpoints: dict[str, tuple[str, int]] = {}
+        self._incoming: set[PeerLink] = set()
+        self._connecting: dict[str, asyncio.Task[None]] = {}
+        self._server: asyncio.Server | None = None
+
+    async def listen(self, host: str, port: int) -> None:
+        """Accept links of other entries."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            self._accept, host, port, reuse_address=True
+        )
+
+    def set_endpoints(self, endpoints: dict[str, tuple[str, int]]) -> None:
+        """Take over the listed entries: address and port by name."""
+        for name, link in list(self.outgoing.items()):
+            if endpoints.get(name) != self.endpoints.get(name):
+                link.close()
+                del self.outgoing[name]
+        self.endpoints = dict(endpoints)
+
+    def connect_missing(self) -> None:
+        """Open links that are missing, without waiting."""
+        for name in self.endpoints:
+            link = self.outgoing.get(name)
+            if (link is not None and link.open) or name in self._connecting:
+                continue
+            task = asyncio.get_running_loop().create_task(self._connect(name))
+            self._connecting[name] = task
+
+    def send(self, name: str, message: wire.Message) -> bool:
+        """Send a message to a peer; return False if there is no link."""
+        link = self.outgoing.get(name)
+        return link is not None and link.send(wire.encode_frame(message))
+
+    def broadcast(self, message: wire.Message) -> list[str]:
+        """Send a message to all peers and return their names."""
+        frame = wire.encode_frame(message)
+        return [
+            name for name, link in self.outgoing.items() if link.send(frame)
+        ]
+
+    async def close(self) -> None:
+        """Close all links."""
+        for task in self._connecting.values():
+            task.cancel()
+        for link in (*self.outgoing.values(), *self._incoming):
+            link.close()
+        if self._server is not None:
+            self._server.close()
+
+    def _accept(self) -> PeerLink:
+        link = PeerLink(self.board, self.on_message)
+        self._incoming = {known for known in self._incoming if known.open}
+        self._incoming.add(link)
+        return link
+
+    async def _connect(self, name: str) -> None:
+        host, port = self.endpoints[name]
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                _, link = await loop.create_connection(
+                    lambda: PeerLink(self.board, self.on_message), host, port
+                )
+        except (OSError, TimeoutError):
+            self.board.count('peer_connect_failures')
+            return
+        finally:
+            self._connecting.pop(name, None)
+        if self.endpoints.get(name) != (host, port):
+            link.close()
+            return
+        self.outgoing[name] = link
+        link.send(wire.encode_frame(self.hello))
--- a/packages/entry/src/dragonflyslip_entry/progress.py
+++ b/packages/entry/src/dragonflyslip_entry/progress.py
@@ -5,6 +5,7 @@
 
 from aiohttp import web
 
+from dragonflyslip_core import suspects
 from dragonflyslip_entry import errors
 
 _CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
@@ -69,8 +70,22 @@
         self.progress = progress
         self.expects_continue = expects_continue
         self.loop = progress.loop
+        self.head: list[bytes] = []
         self.started = False
         self.complete = False
+        self.error: errors.CallerBodyError | None = None
+
+    async def read_head(self, fingerprint: suspects.StreamFingerprint) -> None:
+        """Read what the fingerprint covers and hold it for the stream.
+
+        :raises CallerBodyError: if the caller broke off.
+        """
+        while not fingerprint.complete:
+            chunk = await self._read()
+            if not chunk:
+                return
+            fingerprint.update(chunk)
+            self.head.append(chunk)
 
     async def stream(self) -> collections.abc.AsyncIterator[bytes]:
         """Yield the body in the chunks in which it arrives.
@@ -80,18 +95,22 @@
         self.started = True
         if self.expects_continue and self.request.transport is not None:
             self.request.transport.write(_CONTINUE)
-        content = self.request.content
         self.progress.moved(self.loop.time())
-        while True:
-            try:
-                chunk = await content.readany()
-            except Exception as error:
-                raise errors.CallerBodyError(
-                    f'request body broke off: {error!r}'
-                ) from error
-            if not chunk:
-                break
-            self.progress.moved(self.loop.time())
+        head, self.head = self.head, []
+        for chunk in head:
+            yield chunk
+        while chunk := await self._read():
             yield chunk
         self.complete = True
         self.progress.body_sent(self.loop.time())
+
+    async def _read(self) -> bytes:
+        try:
+            chunk = await self.request.content.readany()
+        except Exception as error:
+            self.error = errors.CallerBodyError(
+                f'request body broke off: {error!r}'
+            )
+            raise self.error from error
+        self.progress.moved(self.loop.time())
+        return chunk
--- a/packages/entry/src/dragonflyslip_entry/responses.py
+++ b/packages/entry/src/dragonflyslip_entry/responses.py
@@ -5,6 +5,7 @@
 import aiohttp
 from aiohttp import web
 
+from dragonflyslip_core import answers
 from dragonflyslip_core import outcomes
 from dragonflyslip_entry import headers
 from dragonflyslip_entry import progress as progress_module
@@ -49,9 +50,14 @@
     response: aiohttp.ClientResponse,
     progress: progress_module.Progress,
     close: bool,
+    head: bytes = b'',
+    outcome: outcomes.Outcome | None = None,
 ) -> web.StreamResponse:
     """Stream a target's response to the caller.
 
+    :param head: part of the body that has been read already.
+    :param outcome: outcome header to add, if the target refused the call.
+
     :param close: whether the caller's connection closes afterwards.
     :raises Exception: if either side broke off; the caller's connection is
         aborted first, so that what it got does not look complete.
@@ -61,11 +67,15 @@
         reason=response.reason,
         headers=headers.forwarded_response_headers(response.headers),
     )
+    if outcome is not None:
+        relayed.headers[outcomes.OUTCOME_HEADER] = outcome.value
     if close:
         relayed.force_close()
     loop = progress.loop
     try:
         await relayed.prepare(request)
+        if head:
+            await relayed.write(head)
         async for chunk in response.content.iter_any():
             progress.moved(loop.time())
             await relayed.write(chunk)
@@ -75,3 +85,21 @@
             request.transport.abort()
         raise
     return relayed
+
+
+def replay(
+    answer: answers.Answer, close: bool, replayed: bool
+) -> web.Response:
+    """Return the response that a stored answer describes.
+
+    :param replayed: whether an earlier attempt of the call got it first.
+    """
+    response = web.Response(status=answer.status, body=answer.body)
+    response.headers.clear()
+    for name, value in answer.headers:
+        response.headers.add(name, value)
+    if replayed:
+        response.headers[headers.REPLAYED_HEADER] = '1'
+    if close:
+        response.force_close()
+    return response
--- /dev/null
+++ b/packages/entry/src/dragonflyslip_entry/service_control.py
@@ -0,0 +1,171 @@
+"""The decisions of one service, and what they have learned."""
+
+import dataclasses
+
+from dragonflyslip_core import blackboard
+from dragonflyslip_core import default_policy
+from dragonflyslip_core import domains
+from dragonflyslip_core import health
+from dragonflyslip_core import limits
+from dragonflyslip_core import probes
+from dragonflyslip_core import profiles
+from dragonflyslip_core import retries
+from dragonflyslip_core import targets
+
+# Upper bound of the bytes of a probe and its response, both with headers.
+PROBE_BYTES = 1_024
+# Health and service state are judged this often for the choice; each write
+# checks the chosen target again.
+CANDIDATES_VALID_S = 0.05
+
+
+@dataclasses.dataclass
+class Candidates:
+    """Targets that look healthy and are in service.
+
+    :param refusal_kind: why there are none, if so.
+    """
+
+    states: list[targets.TargetState]
+    refusal_kind: str | None
+    too_few: bool
+    valid_until: float
+
+
+class ServiceControl:
+    """State of the decisions of one service at this entry.
+
+    :param near_domain: failure domain of this entry.
+    """
+
+    def __init__(self, name: str, profile: profiles.Profile, near_domain: str):
+        self.name = name
+        self.profile = profile
+        self.queue = limits.AdmissionQueue(profile.queue_limit)
+        self.policy = default_policy.DefaultPolicy()
+        self.split = domains.DomainSplit(
+            near_domain, profile.domain_spill_percent
+        )
+        self.median = health.LatencyMedian()
+        self.retry = retries.RetryPolicy.from_profile(profile)
+        self.hedge = retries.HedgePolicy.from_profile(profile)
+        self.budget = self._probe_budget(profile)
+        self.schedule = probes.ProbeSchedule(self.budget)
+        self.limits: dict[str, limits.AdaptiveLimit] = {}
+        self.running = 0
+        self.candidates = Candidates([], None, False, float('-inf'))
+
+    def update_profile(self, profile: profiles.Profile, now: float) -> None:
+        """Take over a changed profile; what was learned is kept."""
+        if profile == self.profile:
+            return
+        share = self.budget.share
+        self.profile = profile
+        self.queue.limit = profile.queue_limit
+        self.split.spill_percent = profile.domain_spill_percent
+        self.retry.max_attempts = profile.max_attempts
+        self.retry.delay_s = profile.retry_delay_ms / 1000
+        self.retry.budget.percent = profile.retry_budget_percent
+        self.hedge.after_s = profile.hedge_after_ms / 1000
+        self.hedge.max_attempts = profile.max_attempts
+        self.hedge.budget.percent = profile.hedge_budget_percent
+        # New buckets start empty, so a change of the profile saves nothing
+        # up and cannot exceed the budget.
+        self.budget = self._probe_budget(profile)
+        self.budget.set_share(share, now)
+        self.schedule.budget = self.budget
+
+    def limit_of(self, target_id: str) -> limits.AdaptiveLimit:
+        """Return the concurrency limit of a target."""
+        limit = self.limits.get(target_id)
+        if limit is None:
+            limit = limits.AdaptiveLimit(self.profile.slots)
+            self.limits[target_id] = limit
+        return limit
+
+    def has_room(self, state: targets.TargetState) -> bool:
+        """Return whether one more request may be granted for a target."""
+        if state.suspected:
+            return False
+        in_flight = state.own_in_flight
+        if state.warm_limit is not None and in_flight >= state.warm_limit:
+            return False
+        return in_flight < self.limit_of(state.target.instance_id).allowed
+
+    def free(self, states: list[targets.TargetState]) -> int:
+        """Return the requests that may be granted now."""
+        return sum(self._free_at(state) for state in states)
+
+    def forget(self, target_id: str) -> None:
+        """Drop what is kept of a target that is gone."""
+        self.limits.pop(target_id, None)
+        self.policy.forget(target_id)
+        self.schedule.forget(target_id)
+
+    def _free_at(self, state: targets.TargetState) -> int:
+        if state.suspected:
+            return 0
+        allowed = self.limit_of(state.target.instance_id).allowed
+        if state.warm_limit is not None:
+            allowed = min(allowed, state.warm_limit)
+        return max(0, allowed - state.own_in_flight)
+
+    @staticmethod
+    def _probe_budget(profile: profiles.Profile) -> probes.ProbeBudget:
+        return probes.ProbeBudget(
+            profile.probe_rate_per_target,
+            profile.probe_rate_fleet,
+            profile.probe_bytes_per_s,
+            PROBE_BYTES,
+        )
+
+
+class ServiceTable:
+    """The controls of all published services.
+
+    :param near_domain: failure domain of this entry.
+    """
+
+    def __init__(self, board: blackboard.Blackboard, near_domain: str):
+        self.board = board
+        self.near_domain = near_domain
+        self.controls: dict[str, ServiceControl] = {}
+        self.share = 0.0
+
+    def of(self, name: str) -> ServiceControl | None:
+        """Return the control of a published service."""
+        return self.controls.get(name)
+
+    def refresh(self, now: float) -> None:
+        """Follow the configuration: new, changed and removed services."""
+        config = self.board.config
+        if config is None:
+            return
+        published = {service.name for service in config.services()}
+        for name in self.controls.keys() - published:
+            del self.controls[name]
+        for name in published:
+            profile = config.profile_of(name)
+            control = self.controls.get(name)
+            if control is None:
+                control = ServiceControl(name, profile, self.near_domain)
+                control.budget.set_share(self.share, now)
+                self.controls[name] = control
+            control.update_profile(profile, now)
+
+    def set_share(self, share: float, now: float) -> None:
+        """Set this entry's part of all probe budgets, 0 to 1."""
+        self.share = share
+        for control in self.controls.values():
+            control.budget.set_share(share, now)
+
+    def forget(self, service: str, target_id: str) -> None:
+        """Drop what is kept of a target that is gone."""
+        control = self.controls.get(service)
+        if control is not None:
+            control.forget(target_id)
+
+    def invalidate(self) -> None:
+        """Judge all targets again at the next choice."""
+        for control in self.controls.values():
+            control.candidates.valid_until = float('-inf')
