Add the table of requests that crash targets

Cause: a caller that repeats a request which crashes its target takes down one target after another, at whichever entry it arrives.

Ruled out: counters of marks per fingerprint. Exceptions come to light after the marks (the third death of a domain), and peers learn of crashes in different orders; the table is a union of crashes, and suspicion is worked out from the union. Also ruled out: working out exceptions at each mark, since a failed domain brings hundreds of marks at once.

A completed run of the same request cancels the marks up to then.

--- /dev/null
+++ b/packages/core/src/dragonflyslip_core/suspects.py
@@ -0,0 +1,423 @@
+"""Requests that crash targets: fingerprints, crash marks, suspicion."""
+
+import collections
+import dataclasses
+import hashlib
+import itertools
+import math
+
+from dragonflyslip_core import outcomes
+from dragonflyslip_core import targets
+
+BODY_HEAD_BYTES = 4096
+DIGEST_BYTES = 16
+
+# A restart shows within a connection attempt; a loss that nothing confirms
+# for this long was the connection's alone.
+CONFIRM_WITHIN_S = 5.0
+DOMAIN_DEATHS = 3
+DOMAIN_WINDOW_S = 1.0
+TARGET_DEATHS = 3
+TARGET_WINDOW_S = 60.0
+# A peer that sends garbage must not fill the memory; 2,900 restarts a day
+# leave under 50 crashes in twice the default lifetime.
+MAX_CRASHES = 4096
+MAX_FINGERPRINTS_PER_CRASH = 4096
+
+
+def key_fingerprint(service: str, key: str) -> str:
+    """Return the fingerprint of a call with an idempotency key."""
+    return _digest(('key', service, key)).hexdigest()
+
+
+def _digest(fields: tuple[str, ...]) -> 'hashlib.blake2b':
+    digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
+    for field in fields:
+        data = field.encode('utf-8', 'surrogateescape')
+        digest.update(len(data).to_bytes(4, 'little') + data)
+    return digest
+
+
+class StreamFingerprint:
+    """Fingerprint of a call without a key, taken as its body passes.
+
+    The first 4 KiB of the body count, whatever the sizes of the chunks that
+    bring them. No byte of the body is kept.
+
+    :param content_length: bytes of the body; None if it is chunked.
+    """
+
+    def __init__(
+        self,
+        service: str,
+        method: str,
+        path: str,
+        query: str,
+        content_length: int | None,
+    ):
+        length = '' if content_length is None else str(content_length)
+        self._hash = _digest(('call', service, method, path, query, length))
+        self.wanted = BODY_HEAD_BYTES
+        if content_length is not None:
+            self.wanted = min(content_length, BODY_HEAD_BYTES)
+
+    @property
+    def complete(self) -> bool:
+        """Whether further chunks leave the fingerprint unchanged."""
+        return self.wanted == 0
+
+    def update(self, chunk: bytes) -> None:
+        """Take in the next bytes of the body; later ones are ignored."""
+        if self.wanted:
+            head = memoryview(chunk)[: self.wanted]
+            self._hash.update(head)
+            self.wanted -= len(head)
+
+    def value(self) -> str:
+        """Return the fingerprint of what has passed, in hexadecimal."""
+        return self._hash.hexdigest()
+
+
+@dataclasses.dataclass(frozen=True)
+class CrashMark:
+    """A crash and the requests in flight there, as peers exchange it.
+
+    :param age_s: seconds since the crash, since peers share no clock.
+    :param ttl_s: seconds that a suspicion by this mark lasts.
+    """
+
+    target_id: str
+    boot_id: str
+    failure_domain: str
+    age_s: float
+    ttl_s: float
+    fingerprints: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True)
+class Suspect:
+    """A request that is refused.
+
+    :param target_ids: the targets that it is thought to have crashed.
+    :param expires_in_s: seconds until it is accepted again.
+    """
+
+    fingerprint: str
+    target_ids: tuple[str, ...]
+    expires_in_s: float
+
+
+@dataclasses.dataclass
+class _Crash:
+    target_id: str
+    boot_id: str
+    failure_domain: str
+    at: float
+    ttl_s: float
+    fingerprints: set[str] = dataclasses.field(default_factory=set)
+    excepted: bool = False
+
+    @property
+    def key(self) -> tuple[str, str]:
+        return self.target_id, self.boot_id
+
+    @property
+    def kept_until(self) -> float:
+        # Two crashes up to one lifetime apart make a suspicion, which lasts
+        # one more; an exception looks back one window.
+        return self.at + 2 * self.ttl_s + TARGET_WINDOW_S
+
+
+@dataclasses.dataclass
+class _Loss:
+    target: targets.Target
+    boot_id: str
+    at: float
+    ttl_s: float
+    fingerprints: set[str] = dataclasses.field(default_factory=set)
+
+
+class SuspectTable:
+    """What this entry and its peers know of crashes.
+
+    The table is a union of crashes; exceptions and suspicions follow from
+    the union alone. Entries that know the same crashes therefore refuse the
+    same requests, in whatever order they learned of them.
+    """
+
+    def __init__(self) -> None:
+        self._crashes: dict[tuple[str, str], _Crash] = {}
+        self._losses: dict[tuple[str, str], _Loss] = {}
+        self._by_fingerprint: dict[str, set[tuple[str, str]]] = {}
+        # Crashes up to this time do not count against the fingerprint.
+        self._cleared: dict[str, float] = {}
+        self._cursor = 0
+        # A failed domain brings hundreds of marks at once; exceptions are
+        # worked out when a request with two marks asks for them.
+        self._exceptions_due = False
+
+    def connection_lost(
+        self,
+        target: targets.Target,
+        boot_id: str,
+        fingerprint: str | None,
+        ttl_s: float,
+        now: float,
+    ) -> CrashMark | None:
+        """Note that a connection ended while a request was in flight.
+
+        :param boot_id: boot of the target when the request was sent.
+        :param fingerprint: the request; None if the connection was idle.
+        :param ttl_s: ``suspicion_ttl_s`` of the profile.
+        :return: a mark to send to the peers if the crash was confirmed
+            before, else None.
+        """
+        key = (target.instance_id, boot_id)
+        fingerprints = {fingerprint} if fingerprint is not None else set()
+        crash = self._crashes.get(key)
+        if crash is not None:
+            return self._extend(crash, fingerprints, now)
+        loss = self._losses.get(key)
+        if loss is None or now - loss.at > CONFIRM_WITHIN_S:
+            loss = self._losses[key] = _Loss(target, boot_id, now, ttl_s)
+        loss.fingerprints |= fingerprints
+        return None
+
+    def connection_refused(
+        self, target_id: str, now: float
+    ) -> tuple[CrashMark, ...]:
+        """Note that a target refuses connections: what it lost, it crashed.
+
+        :return: the marks to send to the peers.
+        """
+        return self._confirm(target_id, now)
+
+    def boot_seen(
+        self, target_id: str, boot_id: str, now: float
+    ) -> tuple[CrashMark, ...]:
+        """Note the boot id of a response or probe.
+
+        Losses of this boot were not a crash; losses of another were.
+
+        :return: the marks to send to the peers.
+        """
+        self._losses.pop((target_id, boot_id), None)
+        return self._confirm(target_id, now)
+
+    def merge(self, mark: CrashMark, now: float) -> bool:
+        """Take over a mark from a peer; return whether it told anything."""
+        valid = 0 <= mark.age_s < math.inf and 0 < mark.ttl_s < math.inf
+        if not valid:
+            return False
+        at = now - mark.age_s
+        key = (mark.target_id, mark.boot_id)
+        crash = self._crashes.get(key)
+        found = set(mark.fingerprints[:MAX_FINGERPRINTS_PER_CRASH])
+        if crash is None:
+            crash = _Crash(
+                mark.target_id,
+                mark.boot_id,
+                mark.failure_domain,
+                at,
+                mark.ttl_s,
+                found,
+            )
+            if crash.kept_until <= now:
+                return False
+            # This entry's requests there met the same crash.
+            loss = self._losses.pop(key, None)
+            if loss is not None:
+                crash.fingerprints |= loss.fingerprints
+            self._add(crash)
+            return True
+        # Transit only adds to the age, so the earliest time is the best.
+        earlier = at < crash.at
+        crash.at = min(crash.at, at)
+        crash.ttl_s = max(crash.ttl_s, mark.ttl_s)
+        self._exceptions_due |= earlier
+        return self._extend(crash, found, now) is not None or earlier
+
+    def marks(self, now: float, limit: int) -> tuple[CrashMark, ...]:
+        """Return up to ``limit`` marks for a heartbeat.
+
+        Successive calls pass through all live marks in turn.
+        """
+        self.expire(now)
+        crashes = list(self._crashes.values())
+        count = min(limit, len(crashes))
+        if count < 1:
+            return ()
+        start = self._cursor % len(crashes)
+        self._cursor = start + count
+        turn = itertools.islice(itertools.cycle(crashes), start, start + count)
+        return tuple(_mark(crash, now) for crash in turn)
+
+    def is_suspect(self, fingerprint: str, now: float) -> bool:
+        """Return whether a request with this fingerprint is refused."""
+        return self._suspect(fingerprint, now) is not None
+
+    def refusal(
+        self, fingerprint: str, outcome: outcomes.Outcome, now: float
+    ) -> outcomes.Refusal | None:
+        """Return the refusal of a suspect request; None if it may run."""
+        suspect = self._suspect(fingerprint, now)
+        if suspect is None:
+            return None
+        return outcomes.Refusal(
+            status=503,
+            outcome=outcome,
+            kind='suspect-request',
+            detail='Instances that ran this request have crashed.',
+            retry_after_s=math.ceil(suspect.expires_in_s),
+        )
+
+    def completed(self, fingerprint: str, now: float) -> None:
+        """Note that a target answered such a request in full.
+
+        Crashes up to now then do not count against it: requests that are
+        made often are in flight at most crashes without being their cause.
+        """
+        if fingerprint in self._by_fingerprint:
+            self._cleared[fingerprint] = now
+
+    def lift(self, fingerprint: str, now: float) -> None:
+        """Accept the request again, until two further crashes mark it."""
+        self._cleared[fingerprint] = now
+
+    def list(self, now: float) -> tuple[Suspect, ...]:
+        """Return all suspects, ordered by fingerprint."""
+        found = (self._suspect(f, now) for f in sorted(self._by_fingerprint))
+        return tuple(suspect for suspect in found if suspect is not None)
+
+    def expire(self, now: float) -> None:
+        """Forget crashes and losses that no longer matter."""
+        for crash in list(self._crashes.values()):
+            if crash.kept_until <= now:
+                self._drop(crash)
+        for key, loss in list(self._losses.items()):
+            if now - loss.at > CONFIRM_WITHIN_S:
+                del self._losses[key]
+        longest = max((c.ttl_s for c in self._crashes.values()), default=0.0)
+        oldest = now - 2 * longest - TARGET_WINDOW_S
+        for fingerprint, at in list(self._cleared.items()):
+            if at < oldest:
+                del self._cleared[fingerprint]
+
+    def _confirm(self, target_id: str, now: float) -> tuple[CrashMark, ...]:
+        marks = []
+        for key, loss in list(self._losses.items()):
+            if key[0] != target_id:
+                continue
+            del self._losses[key]
+            if now - loss.at > CONFIRM_WITHIN_S:
+                continue
+            crash = _Crash(
+                target_id,
+                loss.boot_id,
+                loss.target.failure_domain,
+                loss.at,
+                loss.ttl_s,
+                loss.fingerprints,
+            )
+            self._add(crash)
+            marks.append(_mark(crash, now))
+        return tuple(marks)
+
+    def _extend(
+        self, crash: _Crash, fingerprints: set[str], now: float
+    ) -> CrashMark | None:
+        new = fingerprints - crash.fingerprints
+        crash.fingerprints |= new
+        for fingerprint in new:
+            self._index(fingerprint, crash)
+        self._exceptions_due |= bool(new)
+        return _mark(crash, now) if new else None
+
+    def _add(self, crash: _Crash) -> None:
+        if len(self._crashes) >= MAX_CRASHES:
+            self._drop(min(self._crashes.values(), key=lambda c: c.at))
+        self._crashes[crash.key] = crash
+        for fingerprint in crash.fingerprints:
+            self._index(fingerprint, crash)
+        self._exceptions_due = True
+
+    def _index(self, fingerprint: str, crash: _Crash) -> None:
+        self._by_fingerprint.setdefault(fingerprint, set()).add(crash.key)
+
+    def _drop(self, crash: _Crash) -> None:
+        del self._crashes[crash.key]
+        for fingerprint in crash.fingerprints:
+            keys = self._by_fingerprint[fingerprint]
+            keys.discard(crash.key)
+            if not keys:
+                del self._by_fingerprint[fingerprint]
+
+    def _update_exceptions(self) -> None:
+        self._exceptions_due = False
+        by_domain = collections.defaultdict(list)
+        by_target = collections.defaultdict(list)
+        for crash in sorted(self._crashes.values(), key=lambda c: c.at):
+            crash.excepted = False
+            by_domain[crash.failure_domain].append(crash)
+            by_target[crash.target_id].append(crash)
+        for crashes in by_domain.values():
+            _except_domain(crashes)
+        for crashes in by_target.values():
+            _except_target(crashes)
+
+    def _suspect(self, fingerprint: str, now: float) -> Suspect | None:
+        keys = self._by_fingerprint.get(fingerprint)
+        if keys is None or len(keys) < 2:
+            return None
+        if self._exceptions_due:
+            self._update_exceptions()
+        cleared = self._cleared.get(fingerprint, -math.inf)
+        crashes = [self._crashes[key] for key in keys]
+        counted = sorted(
+            (c for c in crashes if not c.excepted and c.at > cleared),
+            key=lambda c: (c.at, c.key),
+        )
+        until = -math.inf
+        for first, second in itertools.pairwise(counted):
+            if second.at - first.at <= second.ttl_s:
+                until = second.at + second.ttl_s
+        if now >= until:
+            return None
+        ids = tuple(sorted({crash.target_id for crash in counted}))
+        return Suspect(fingerprint, ids, until - now)
+
+
+def _mark(crash: _Crash, now: float) -> CrashMark:
+    return CrashMark(
+        crash.target_id,
+        crash.boot_id,
+        crash.failure_domain,
+        max(0.0, now - crash.at),
+        crash.ttl_s,
+        tuple(sorted(crash.fingerprints)),
+    )
+
+
+def _except_domain(crashes: list[_Crash]) -> None:
+    """Except crashes of a domain that failed: many targets at once."""
+    first = 0
+    for last, crash in enumerate(crashes):
+        while crash.at - crashes[first].at > DOMAIN_WINDOW_S:
+            first += 1
+        window = crashes[first : last + 1]
+        if len({c.target_id for c in window}) >= DOMAIN_DEATHS:
+            for excepted in window:
+                excepted.excepted = True
+
+
+def _except_target(crashes: list[_Crash]) -> None:
+    """Except crashes of a target that dies whatever it is sent."""
+    for start in range(len(crashes) - TARGET_DEATHS + 1):
+        run = crashes[start : start + TARGET_DEATHS]
+        disjoint = all(
+            a.fingerprints.isdisjoint(b.fingerprints)
+            for a, b in itertools.combinations(run, 2)
+        )
+        if disjoint and run[-1].at - run[0].at <= TARGET_WINDOW_S:
+            for crash in run:
+                crash.excepted = True
