--- a/packages/testing/src/dragonflyslip_testing/target.py
+++ b/packages/testing/src/dragonflyslip_testing/target.py
@@ -68,10 +68,19 @@
         """Break all connections and start cold with a new boot id."""
         self.boot_id = uuid.uuid4().hex[:12]
         self.booted_at = time.monotonic()
+        self.in_flight = 0
         for transport in list(self.transports):
             transport.abort()
         self.transports.clear()
 
+    def keep(self, request: web.Request) -> None:
+        """Remember a connection, which a restart breaks."""
+        self.transports = {
+            known for known in self.transports if not known.is_closing()
+        }
+        if request.transport is not None:
+            self.transports.add(request.transport)
+
     def crash(self) -> None:
         """Restart because of a request."""
         self.crashes += 1
@@ -117,6 +126,7 @@
 
 async def _handle_load(request: web.Request) -> web.Response:
     model = request.app[MODEL]
+    model.keep(request)
     model.probes += 1
     return web.Response(
         headers={'Dragonflyslip-Load': model.load_header()}, status=204
@@ -174,8 +184,8 @@
 
 @contextlib.contextmanager
 def _in_flight(model: TargetModel, request: web.Request):
-    transport = request.transport
-    model.transports.add(transport)
+    model.keep(request)
+    boot_id = model.boot_id
     model.in_flight += 1
     try:
         if model.cold:
@@ -184,8 +194,8 @@
                 model.crash()
         yield
     finally:
-        model.in_flight -= 1
-        model.transports.discard(transport)
+        if model.boot_id == boot_id:
+            model.in_flight -= 1
 
 
 async def _respond(
