Add the peer protocol: schema, messages and frames

Cause: entries exchange heartbeats, notices, configuration and answers.

Ruled out: reading several segments. pycapnp 2.2.4 reads a further segment of a packed message late and ends the process with SIGABRT when it is malformed, so a single bad frame would have ended an entry. Messages have one segment, and the first byte shows it before the library reads anything. Also ruled out: a bound on the frame alone, since 2 packed bytes of zeros stand for 2 KiB; a message may have 4 MiB when unpacked.

Before: no protocol.

After: encode_frame, FrameDecoder and typed messages. Heartbeats carry ages and an echo.

--- /dev/null
+++ b/packages/wire/src/dragonflyslip_wire/messages.py
@@ -0,0 +1,501 @@
+"""Typed peer messages and their encoding as packed Cap'n Proto."""
+
+import dataclasses
+import enum
+import math
+import pathlib
+import typing
+
+import capnp
+
+from dragonflyslip_core import membership
+from dragonflyslip_core import warmup
+from dragonflyslip_wire import errors
+
+PROTOCOL_VERSION = 1
+KEY_HASH_BYTES = 16
+MAX_BODY_BYTES = 65_536
+"""Bytes of the largest response body that is stored for repeated calls."""
+MAX_MESSAGE_WORDS = 2**19
+"""Words of 8 bytes that a message may have when it is unpacked, 4 MiB.
+
+A packed run of zeros unpacks to a thousand times its size, so the bound on
+frames does not bound the memory of a message.
+"""
+
+_FIRST_SEGMENT_WORDS = 1_024
+_NO_AGE = 0xFFFFFFFF
+_MAX_TEXT = 256
+_MAX_DIGEST_BYTES = 64
+_MAX_HEADERS = 1_000
+
+_schema = capnp.load(str(pathlib.Path(__file__).with_name('peer.capnp')))
+
+
+class AnswerState(enum.StrEnum):
+    """What the entry that made a claim knows of its call."""
+
+    UNKNOWN = 'unknown'
+    RUNNING = 'running'
+    RELEASED = 'released'
+    STORED = 'stored'
+
+
+@dataclasses.dataclass(frozen=True)
+class CrashMark:
+    """A request that was in flight at a target when it died.
+
+    :param fingerprint: fingerprint of the request, up to 64 bytes.
+    :param age_s: seconds since the crash.
+    """
+
+    fingerprint: bytes
+    target_id: str
+    boot_id: str
+    age_s: float
+
+
+@dataclasses.dataclass(frozen=True)
+class Hello:
+    """First message on a connection."""
+
+    sender: membership.EntryId
+    failure_domain: str = ''
+
+
+@dataclasses.dataclass(frozen=True)
+class Heartbeat:
+    """State of the sender, sent every ``membership.HEARTBEAT_S``.
+
+    :param member: membership of the sender; its ``echo`` is meant for the
+        recipient alone.
+    :param log_read_age_s: seconds since the last read of the log that
+        reached its end, known directly or through a peer; None if there was
+        none.
+    :param targets: boot ids and warm levels that changed.
+    :param marks: all live crash marks.
+    """
+
+    member: membership.MemberReport
+    config_through: int = 0
+    config_digest: bytes = b''
+    log_read_age_s: float | None = None
+    targets: tuple[warmup.TargetFact, ...] = ()
+    marks: tuple[CrashMark, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True)
+class Notice:
+    """News that does not wait for the next heartbeat.
+
+    :param notice_id: repeated by the :class:`NoticeAck`.
+    """
+
+    notice_id: int
+    targets: tuple[warmup.TargetFact, ...] = ()
+    marks: tuple[CrashMark, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True)
+class NoticeAck:
+    """Says that a notice has been taken over."""
+
+    notice_id: int
+
+
+@dataclasses.dataclass(frozen=True)
+class ConfigPull:
+    """Asks for a configuration newer than ``through``."""
+
+    through: int
+
+
+@dataclasses.dataclass(frozen=True)
+class ConfigPush:
+    """A part of the folded configuration, opaque to this package.
+
+    :param part: number of this part, from 0 to ``parts - 1``.
+    """
+
+    through: int
+    digest: bytes
+    body: bytes
+    part: int = 0
+    parts: int = 1
+
+
+@dataclasses.dataclass(frozen=True)
+class AnswerQuery:
+    """Asks the entry that made a claim for the response to its call."""
+
+    service: str
+    key_hash: bytes
+    claim_id: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Answer:
+    """Reply to an :class:`AnswerQuery`.
+
+    :param status: HTTP status, 0 unless the state is ``stored``.
+    :param body: up to 64 KiB.
+    """
+
+    claim_id: str
+    state: AnswerState
+    status: int = 0
+    headers: tuple[tuple[str, str], ...] = ()
+    body: bytes = b''
+
+
+Message = (
+    Hello
+    | Heartbeat
+    | Notice
+    | NoticeAck
+    | ConfigPull
+    | ConfigPush
+    | AnswerQuery
+    | Answer
+)
+
+
+def encode_message(message: Message) -> bytes:
+    """Return the packed bytes of a message.
+
+    :raises MessageError: if a value is out of bounds.
+    """
+    codec = _CODECS_BY_TYPE.get(type(message))
+    if codec is None:
+        raise errors.MessageError(f'{type(message).__name__} is no message')
+    try:
+        data = _pack(codec, message, _FIRST_SEGMENT_WORDS)
+        if not _has_one_segment(data):
+            data = _pack(codec, message, MAX_MESSAGE_WORDS)
+    except errors.WireError:
+        raise
+    except Exception as error:
+        # The library raises many types for values that do not fit.
+        raise errors.MessageError(
+            f'{codec.member} does not encode: {_first_line(error)}'
+        ) from error
+    if not _has_one_segment(data):
+        raise errors.MessageError(f'{codec.member} is too long')
+    return data
+
+
+def decode_message(data: bytes) -> Message:
+    """Return the message that packed bytes hold.
+
+    :raises VersionError: if it has another protocol version.
+    :raises MessageError: if it does not decode.
+    """
+    if not _has_one_segment(data):
+        raise errors.MessageError('message has several segments')
+    try:
+        root = _schema.PeerMessage.from_bytes_packed(
+            data, traversal_limit_in_words=MAX_MESSAGE_WORDS
+        )
+        if root.protocolVersion != PROTOCOL_VERSION:
+            raise errors.VersionError(root.protocolVersion)
+        member = str(root.which())
+        return _CODECS_BY_MEMBER[member].read(getattr(root, member))
+    except errors.WireError:
+        raise
+    except Exception as error:
+        # The library raises many types for malformed bytes.
+        raise errors.MessageError(
+            f'malformed peer message: {_first_line(error)}'
+        ) from error
+
+
+def _pack(codec: '_Codec', message: Message, segment_words: int) -> bytes:
+    root = _schema.PeerMessage.new_message(
+        num_first_segment_words=segment_words,
+        protocolVersion=PROTOCOL_VERSION,
+    )
+    codec.write(root.init(codec.member), message)
+    return root.to_bytes_packed()
+
+
+def _has_one_segment(data: bytes) -> bool:
+    # The low bits of the first tag stand for the number of further segments.
+    # pycapnp reads further segments late, and ends the process if they are
+    # malformed.
+    return len(data) > 0 and not data[0] & 0x0F
+
+
+def _first_line(error: Exception) -> str:
+    return (str(error).splitlines() or [''])[0][:200]
+
+
+def _to_ms(age_s: float, round_up: bool) -> int:
+    milliseconds = age_s * 1000
+    if not milliseconds < _NO_AGE - 1:
+        return _NO_AGE - 1
+    whole = math.ceil(milliseconds) if round_up else int(milliseconds)
+    return max(0, whole)
+
+
+def _text(value: str, what: str) -> str:
+    if len(value) > _MAX_TEXT:
+        raise errors.MessageError(f'{what} is longer than {_MAX_TEXT}')
+    return value
+
+
+def _name(value: str, what: str) -> str:
+    if not value:
+        raise errors.MessageError(f'{what} is empty')
+    return _text(value, what)
+
+
+def _digest(value: bytes, what: str) -> bytes:
+    if len(value) > _MAX_DIGEST_BYTES:
+        raise errors.MessageError(f'{what} is too long')
+    return bytes(value)
+
+
+def _key_hash(value: bytes) -> bytes:
+    if len(value) != KEY_HASH_BYTES:
+        raise errors.MessageError(f'key hash has not {KEY_HASH_BYTES} bytes')
+    return bytes(value)
+
+
+def _body(value: bytes) -> bytes:
+    if len(value) > MAX_BODY_BYTES:
+        raise errors.MessageError(f'body exceeds {MAX_BODY_BYTES} bytes')
+    return bytes(value)
+
+
+def _headers(items):
+    if len(items) > _MAX_HEADERS:
+        raise errors.MessageError(f'more than {_MAX_HEADERS} headers')
+    return items
+
+
+def _part(part: int, parts: int) -> None:
+    if not 0 <= part < parts:
+        raise errors.MessageError(f'part {part} of {parts} does not exist')
+
+
+def _write_entry_id(builder, entry_id: membership.EntryId) -> None:
+    builder.name = _name(entry_id.name, 'entry name')
+    builder.incarnation = entry_id.incarnation
+
+
+def _read_entry_id(reader) -> membership.EntryId:
+    return membership.EntryId(
+        _name(reader.name, 'entry name'), reader.incarnation
+    )
+
+
+def _write_facts(builder, facts: typing.Sequence[warmup.TargetFact]) -> None:
+    if not facts:
+        return
+    items = builder.init('targets', len(facts))
+    for item, fact in zip(items, facts, strict=True):
+        item.targetId = _name(fact.target_id, 'target id')
+        item.bootId = _name(fact.boot_id, 'boot id')
+        item.warm = fact.warm
+        item.level = fact.level
+        # An older fact is the careful one: it raises no false suspicion.
+        item.ageMs = _to_ms(fact.age_s, round_up=True)
+
+
+def _read_facts(reader) -> tuple[warmup.TargetFact, ...]:
+    return tuple(
+        warmup.TargetFact(
+            target_id=_name(item.targetId, 'target id'),
+            boot_id=_name(item.bootId, 'boot id'),
+            warm=item.warm,
+            level=item.level,
+            age_s=item.ageMs / 1000,
+        )
+        for item in reader.targets
+    )
+
+
+def _write_marks(builder, marks: typing.Sequence[CrashMark]) -> None:
+    if not marks:
+        return
+    items = builder.init('marks', len(marks))
+    for item, mark in zip(items, marks, strict=True):
+        item.fingerprint = _digest(mark.fingerprint, 'fingerprint')
+        item.targetId = _name(mark.target_id, 'target id')
+        item.bootId = _text(mark.boot_id, 'boot id')
+        item.ageMs = _to_ms(mark.age_s, round_up=False)
+
+
+def _read_marks(reader) -> tuple[CrashMark, ...]:
+    return tuple(
+        CrashMark(
+            fingerprint=_digest(item.fingerprint, 'fingerprint'),
+            target_id=_name(item.targetId, 'target id'),
+            boot_id=_text(item.bootId, 'boot id'),
+            age_s=item.ageMs / 1000,
+        )
+        for item in reader.marks
+    )
+
+
+def _write_hello(builder, message: Hello) -> None:
+    _write_entry_id(builder.init('sender'), message.sender)
+    builder.failureDomain = _text(message.failure_domain, 'failure domain')
+
+
+def _read_hello(reader) -> Hello:
+    return Hello(
+        sender=_read_entry_id(reader.sender),
+        failure_domain=_text(reader.failureDomain, 'failure domain'),
+    )
+
+
+def _write_heartbeat(builder, message: Heartbeat) -> None:
+    member = message.member
+    _write_entry_id(builder.init('sender'), member.entry_id)
+    builder.sequence = member.sequence
+    builder.echo = member.echo
+    builder.viewDigest = _digest(member.view_digest, 'view digest')
+    # Rounded down: a younger view votes later.
+    builder.viewAgeMs = _to_ms(member.view_age_s, round_up=False)
+    builder.draining = member.draining
+    builder.configThrough = message.config_through
+    builder.configDigest = _digest(message.config_digest, 'config digest')
+    if message.log_read_age_s is None:
+        builder.logReadAgeMs = _NO_AGE
+    else:
+        builder.logReadAgeMs = _to_ms(message.log_read_age_s, round_up=True)
+    _write_facts(builder, message.targets)
+    _write_marks(builder, message.marks)
+
+
+def _read_heartbeat(reader) -> Heartbeat:
+    log_read_age_ms = reader.logReadAgeMs
+    return Heartbeat(
+        member=membership.MemberReport(
+            entry_id=_read_entry_id(reader.sender),
+            sequence=reader.sequence,
+            echo=reader.echo,
+            view_digest=_digest(reader.viewDigest, 'view digest'),
+            view_age_s=reader.viewAgeMs / 1000,
+            draining=reader.draining,
+        ),
+        config_through=reader.configThrough,
+        config_digest=_digest(reader.configDigest, 'config digest'),
+        log_read_age_s=(
+            None if log_read_age_ms == _NO_AGE else log_read_age_ms / 1000
+        ),
+        targets=_read_facts(reader),
+        marks=_read_marks(reader),
+    )
+
+
+def _write_notice(builder, message: Notice) -> None:
+    builder.noticeId = message.notice_id
+    _write_facts(builder, message.targets)
+    _write_marks(builder, message.marks)
+
+
+def _read_notice(reader) -> Notice:
+    return Notice(reader.noticeId, _read_facts(reader), _read_marks(reader))
+
+
+def _write_notice_ack(builder, message: NoticeAck) -> None:
+    builder.noticeId = message.notice_id
+
+
+def _read_notice_ack(reader) -> NoticeAck:
+    return NoticeAck(reader.noticeId)
+
+
+def _write_config_pull(builder, message: ConfigPull) -> None:
+    builder.through = message.through
+
+
+def _read_config_pull(reader) -> ConfigPull:
+    return ConfigPull(reader.through)
+
+
+def _write_config_push(builder, message: ConfigPush) -> None:
+    _part(message.part, message.parts)
+    builder.through = message.through
+    builder.digest = _digest(message.digest, 'config digest')
+    builder.body = message.body
+    builder.part = message.part
+    builder.parts = message.parts
+
+
+def _read_config_push(reader) -> ConfigPush:
+    _part(reader.part, reader.parts)
+    return ConfigPush(
+        through=reader.through,
+        digest=_digest(reader.digest, 'config digest'),
+        body=bytes(reader.body),
+        part=reader.part,
+        parts=reader.parts,
+    )
+
+
+def _write_answer_query(builder, message: AnswerQuery) -> None:
+    builder.service = _name(message.service, 'service')
+    builder.keyHash = _key_hash(message.key_hash)
+    builder.claimId = _name(message.claim_id, 'claim id')
+
+
+def _read_answer_query(reader) -> AnswerQuery:
+    return AnswerQuery(
+        service=_name(reader.service, 'service'),
+        key_hash=_key_hash(reader.keyHash),
+        claim_id=_name(reader.claimId, 'claim id'),
+    )
+
+
+def _write_answer(builder, message: Answer) -> None:
+    builder.claimId = _name(message.claim_id, 'claim id')
+    builder.state = message.state.value
+    builder.status = message.status
+    builder.body = _body(message.body)
+    items = builder.init('headers', len(_headers(message.headers)))
+    for item, (name, value) in zip(items, message.headers, strict=True):
+        # HTTP headers may hold bytes that are not UTF-8.
+        item.name = name.encode('utf-8', 'surrogateescape')
+        item.value = value.encode('utf-8', 'surrogateescape')
+
+
+def _read_answer(reader) -> Answer:
+    return Answer(
+        claim_id=_name(reader.claimId, 'claim id'),
+        state=AnswerState(str(reader.state)),
+        status=reader.status,
+        headers=tuple(
+            (
+                bytes(item.name).decode('utf-8', 'surrogateescape'),
+                bytes(item.value).decode('utf-8', 'surrogateescape'),
+            )
+            for item in _headers(reader.headers)
+        ),
+        body=_body(reader.body),
+    )
+
+
+class _Codec(typing.NamedTuple):
+    type: type
+    member: str
+    write: typing.Callable
+    read: typing.Callable
+
+
+_CODECS = (
+    _Codec(Hello, 'hello', _write_hello, _read_hello),
+    _Codec(Heartbeat, 'heartbeat', _write_heartbeat, _read_heartbeat),
+    _Codec(Notice, 'notice', _write_notice, _read_notice),
+    _Codec(NoticeAck, 'noticeAck', _write_notice_ack, _read_notice_ack),
+    _Codec(ConfigPull, 'configPull', _write_config_pull, _read_config_pull),
+    _Codec(ConfigPush, 'configPush', _write_config_push, _read_config_push),
+    _Codec(
+        AnswerQuery, 'answerQuery', _write_answer_query, _read_answer_query
+    ),
+    _Codec(Answer, 'answer', _write_answer, _read_answer),
+)
+_CODECS_BY_TYPE = {codec.type: codec for codec in _CODECS}
+_CODECS_BY_MEMBER = {codec.member: codec for codec in _CODECS}
--- /dev/null
+++ b/packages/wire/src/dragonflyslip_wire/peer.capnp
@@ -0,0 +1,110 @@
+@0xd3a7c41f5be2960d;
+
+# Messages between entry instances. A frame is a 4-byte little-endian length
+# and one packed PeerMessage. Ages are milliseconds before the message was
+# written, since the monotonic clocks of two instances have nothing in common.
+
+struct PeerMessage {
+  protocolVersion @0 :UInt16;
+  union {
+    hello @1 :Hello;
+    heartbeat @2 :Heartbeat;
+    notice @3 :Notice;
+    noticeAck @4 :NoticeAck;
+    configPull @5 :ConfigPull;
+    configPush @6 :ConfigPush;
+    answerQuery @7 :AnswerQuery;
+    answer @8 :Answer;
+  }
+}
+
+struct EntryId {
+  name @0 :Text;
+  incarnation @1 :UInt64;
+}
+
+struct Hello {
+  sender @0 :EntryId;
+  failureDomain @1 :Text;
+}
+
+struct Heartbeat {
+  sender @0 :EntryId;
+  sequence @1 :UInt64;
+  # Last sequence that the sender received from the recipient, 0 if none.
+  echo @2 :UInt64;
+  viewDigest @3 :Data;
+  viewAgeMs @4 :UInt32;
+  draining @5 :Bool;
+  configThrough @6 :UInt64;
+  configDigest @7 :Data;
+  # 0xffffffff if the sender knows of no read.
+  logReadAgeMs @8 :UInt32;
+  targets @9 :List(TargetFact);
+  marks @10 :List(CrashMark);
+}
+
+struct TargetFact {
+  targetId @0 :Text;
+  bootId @1 :Text;
+  warm @2 :Bool;
+  level @3 :UInt16;
+  ageMs @4 :UInt32;
+}
+
+struct CrashMark {
+  fingerprint @0 :Data;
+  targetId @1 :Text;
+  bootId @2 :Text;
+  ageMs @3 :UInt32;
+}
+
+struct Notice {
+  noticeId @0 :UInt64;
+  targets @1 :List(TargetFact);
+  marks @2 :List(CrashMark);
+}
+
+struct NoticeAck {
+  noticeId @0 :UInt64;
+}
+
+struct ConfigPull {
+  # The sender has the state through this offset and asks for a newer one.
+  through @0 :UInt64;
+}
+
+struct ConfigPush {
+  through @0 :UInt64;
+  digest @1 :Data;
+  # One part of the JSON text of the state; large states need several frames.
+  body @2 :Data;
+  part @3 :UInt16;
+  parts @4 :UInt16;
+}
+
+struct AnswerQuery {
+  service @0 :Text;
+  keyHash @1 :Data;
+  claimId @2 :Text;
+}
+
+struct Answer {
+  enum State {
+    unknown @0;
+    running @1;
+    released @2;
+    stored @3;
+  }
+
+  struct Header {
+    name @0 :Data;
+    value @1 :Data;
+  }
+
+  claimId @0 :Text;
+  state @1 :State;
+  status @2 :UInt16;
+  headers @3 :List(Header);
+  body @4 :Data;
+}
--- /dev/null
+++ b/packages/wire/tests/test_frames.py
@@ -0,0 +1,238 @@
+"""Peer frames: what is sent arrives, and no input breaks the decoder."""
+
+import struct
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from dragonflyslip_core import membership
+from dragonflyslip_core import warmup
+import dragonflyslip_wire as wire
+from dragonflyslip_wire import messages
+
+names = strategies.text(
+    strategies.characters(exclude_categories=['Cs']), min_size=1, max_size=40
+)
+uint64 = strategies.integers(0, 2**64 - 1)
+uint16 = strategies.integers(0, 2**16 - 1)
+digests = strategies.binary(max_size=32)
+ages = strategies.integers(0, 10**9).map(lambda number: number / 1000)
+entry_ids = strategies.builds(membership.EntryId, names, uint64)
+facts = strategies.lists(
+    strategies.builds(
+        warmup.TargetFact, names, names, strategies.booleans(), uint16, ages
+    ),
+    max_size=4,
+).map(tuple)
+marks = strategies.lists(
+    strategies.builds(wire.CrashMark, digests, names, names, ages),
+    max_size=3,
+).map(tuple)
+header_text = strategies.binary(max_size=20).map(
+    lambda data: data.decode('utf-8', 'surrogateescape')
+)
+any_message = strategies.one_of(
+    strategies.builds(wire.Hello, entry_ids, names),
+    strategies.builds(
+        wire.Heartbeat,
+        strategies.builds(
+            membership.MemberReport,
+            entry_ids,
+            uint64,
+            uint64,
+            digests,
+            ages,
+            strategies.booleans(),
+        ),
+        uint64,
+        digests,
+        strategies.none() | ages,
+        facts,
+        marks,
+    ),
+    strategies.builds(wire.Notice, uint64, facts, marks),
+    strategies.builds(wire.NoticeAck, uint64),
+    strategies.builds(wire.ConfigPull, uint64),
+    strategies.builds(
+        wire.ConfigPush, uint64, digests, strategies.binary(max_size=300)
+    ),
+    strategies.builds(
+        wire.AnswerQuery,
+        names,
+        strategies.binary(min_size=16, max_size=16),
+        names,
+    ),
+    strategies.builds(
+        wire.Answer,
+        names,
+        strategies.sampled_from(wire.AnswerState),
+        uint16,
+        strategies.lists(
+            strategies.tuples(header_text, header_text), max_size=3
+        ).map(tuple),
+        strategies.binary(max_size=300),
+    ),
+)
+
+derandomized = hypothesis.settings(
+    max_examples=200, deadline=None, derandomize=True
+)
+
+
+def close(sent, received):
+    """Compare two messages; ages may differ by the rounding to 1 ms."""
+    if isinstance(sent, float) and isinstance(received, float):
+        return abs(sent - received) <= 0.0011
+    if hasattr(sent, '__dataclass_fields__'):
+        return type(sent) is type(received) and all(
+            close(getattr(sent, name), getattr(received, name))
+            for name in sent.__dataclass_fields__
+        )
+    if isinstance(sent, tuple):
+        return len(sent) == len(received) and all(map(close, sent, received))
+    return sent == received
+
+
+def refusal_of(data):
+    decoder = wire.FrameDecoder()
+    with pytest.raises(wire.WireError) as caught:
+        list(decoder.feed(data))
+    return decoder, caught.value
+
+
+class TestRoundTrip:
+    @derandomized
+    @hypothesis.given(
+        sent=strategies.lists(any_message, max_size=4),
+        cuts=strategies.lists(strategies.integers(1, 50), min_size=1),
+    )
+    def test_messages_arrive_however_the_stream_is_cut(self, sent, cuts):
+        data = b''.join(wire.encode_frame(message) for message in sent)
+        decoder = wire.FrameDecoder()
+        received = []
+        at, number = 0, 0
+        while at < len(data):
+            size = cuts[number % len(cuts)]
+            received += decoder.feed(data[at : at + size])
+            at, number = at + size, number + 1
+        assert close(tuple(sent), tuple(received))
+
+    def test_large_answer_and_config_fit(self):
+        for message in (
+            wire.Answer('c', wire.AnswerState.STORED, 200, (), b'\0' * 65536),
+            wire.ConfigPush(1, b'd', b'x1y2z3w4' * 120_000, 0, 9),
+        ):
+            (received,) = wire.FrameDecoder().feed(wire.encode_frame(message))
+            assert received == message
+
+
+class TestBadInput:
+    @derandomized
+    @hypothesis.given(
+        message=any_message,
+        edits=strategies.lists(
+            strategies.tuples(
+                strategies.integers(0, 10_000), strategies.integers(0, 255)
+            ),
+            min_size=1,
+            max_size=6,
+        ),
+        drop=strategies.integers(0, 20),
+    )
+    def test_damaged_frame_gives_message_or_own_error(
+        self, message, edits, drop
+    ):
+        payload = bytearray(wire.encode_message(message))
+        for position, value in edits:
+            payload[position % len(payload)] = value
+        del payload[len(payload) - min(drop, len(payload) - 1) :]
+        frame = struct.pack('<I', len(payload)) + payload
+        decoder = wire.FrameDecoder()
+        try:
+            for received in decoder.feed(frame):
+                wire.encode_frame(received)
+        except wire.WireError:
+            assert decoder.error is not None
+
+    @derandomized
+    @hypothesis.given(data=strategies.binary(max_size=400))
+    def test_random_bytes_raise_only_own_errors(self, data):
+        for stream in (data, struct.pack('<I', len(data)) + data):
+            try:
+                list(wire.FrameDecoder().feed(stream))
+            except wire.WireError:
+                pass
+
+    @pytest.mark.parametrize(
+        'data, error',
+        [
+            (struct.pack('<I', 0), wire.FrameError),
+            (struct.pack('<I', 2**20 + 1), wire.FrameError),
+            (b'\xff' * 4, wire.FrameError),
+            (struct.pack('<I', 4) + b'junk', wire.MessageError),
+        ],
+    )
+    def test_bad_frame_ends_the_stream(self, data, error):
+        decoder, raised = refusal_of(data)
+        assert isinstance(raised, error)
+        good = wire.encode_frame(wire.NoticeAck(1))
+        with pytest.raises(error):
+            list(decoder.feed(good))
+
+    def test_messages_before_a_bad_frame_are_delivered(self):
+        stream = wire.encode_frame(wire.NoticeAck(1)) + b'\xff' * 4
+        received = wire.FrameDecoder().feed(stream)
+        assert next(received) == wire.NoticeAck(1)
+        with pytest.raises(wire.FrameError):
+            next(received)
+
+    def test_zero_run_does_not_unpack_without_bound(self):
+        # 2 bytes of packed zeros stand for 2 KiB. The message is complete,
+        # so without the bound it would decode to version 0.
+        words = 2 * messages.MAX_MESSAGE_WORDS
+        header = struct.pack('<II', 0, words)
+        packed = b'\xff' + header + b'\0' + b'\0\xff' * (words // 256)
+        _, raised = refusal_of(struct.pack('<I', len(packed)) + packed)
+        assert type(raised) is wire.MessageError
+
+    def test_second_segment_is_refused(self):
+        # The library ends the process when a second segment is malformed.
+        root = messages._schema.PeerMessage.new_message(
+            num_first_segment_words=1, protocolVersion=1
+        )
+        root.init('hello').init('sender').name = 'e1'
+        packed = root.to_bytes_packed()
+        _, raised = refusal_of(struct.pack('<I', len(packed)) + packed)
+        assert type(raised) is wire.MessageError
+
+    def test_other_version_is_told_apart(self, monkeypatch):
+        monkeypatch.setattr(messages, 'PROTOCOL_VERSION', 2)
+        frame = wire.encode_frame(wire.NoticeAck(1))
+        monkeypatch.undo()
+        _, raised = refusal_of(frame)
+        assert isinstance(raised, wire.VersionError)
+        assert raised.version == 2
+
+    @pytest.mark.parametrize(
+        'message',
+        [
+            wire.AnswerQuery('s', b'short', 'c'),
+            wire.AnswerQuery('', b'k' * 16, 'c'),
+            wire.Answer('c', wire.AnswerState.STORED, 200, (), b'x' * 65_537),
+            wire.Answer('c', wire.AnswerState.STORED, 70_000),
+            wire.Answer(
+                'c', wire.AnswerState.STORED, 200, (('a', 'b'),) * 1_001
+            ),
+            wire.ConfigPush(1, b'', b'', part=1, parts=1),
+            wire.ConfigPush(1, b'd', b'x1y2z3w4' * 140_000),
+            wire.ConfigPull(-1),
+            wire.Hello(membership.EntryId('n' * 257, 1)),
+            wire.Hello(membership.EntryId('\ud800', 1)),
+            wire.Notice(1, (warmup.TargetFact('t', 'b', True, 2**16, 0),)),
+            'text',
+        ],
+    )
+    def test_message_out_of_bounds_is_not_sent(self, message):
+        with pytest.raises(wire.WireError):
+            wire.encode_frame(message)
