Count a connection lost after the write as lost, not as unsent

Cause: the HTTP client repeats an idempotent request by itself when a pooled connection breaks. The attempt refused that second write, and the refusal was taken as 'nothing was written', so the call went on to the next target without counting: one crashing request reached all five targets.

Ruled out: missing crash marks between entries; a trace showed that no loss was ever recorded.

Also: crash marks travel with failure domain, lifetime and all fingerprints, as the suspect table needs them.

--- a/packages/entry/src/dragonflyslip_entry/upstream.py
+++ b/packages/entry/src/dragonflyslip_entry/upstream.py
@@ -218,6 +218,12 @@
                     self.rules.silence(connection_id, self._loop.time())
                 )
             await self.release(connection_id, False)
+            if isinstance(error, errors.SendRefusedError) and attempt.written:
+                # The connection broke after the write, and the client was
+                # about to repeat the request by itself.
+                raise errors.TargetError(
+                    'target-disconnected', 'connection lost', written=True
+                ) from error
             if isinstance(error, (aiohttp.ClientError, OSError)):
                 raise _target_error(error, attempt) from error
             raise
--- a/packages/wire/src/dragonflyslip_wire/__init__.py
+++ b/packages/wire/src/dragonflyslip_wire/__init__.py
@@ -12,7 +12,6 @@
 from dragonflyslip_wire.messages import AnswerState
 from dragonflyslip_wire.messages import ConfigPull
 from dragonflyslip_wire.messages import ConfigPush
-from dragonflyslip_wire.messages import CrashMark
 from dragonflyslip_wire.messages import decode_message
 from dragonflyslip_wire.messages import encode_message
 from dragonflyslip_wire.messages import Heartbeat
--- a/packages/wire/src/dragonflyslip_wire/messages.py
+++ b/packages/wire/src/dragonflyslip_wire/messages.py
@@ -9,6 +9,7 @@
 import capnp
 
 from dragonflyslip_core import membership
+from dragonflyslip_core import suspects
 from dragonflyslip_core import warmup
 from dragonflyslip_wire import errors
 
@@ -41,20 +42,6 @@
     STORED = 'stored'
 
 
-@dataclasses.dataclass(frozen=True)
-class CrashMark:
-    """A request that was in flight at a target when it died.
-
-    :param fingerprint: fingerprint of the request, up to 64 bytes.
-    :param age_s: seconds since the crash.
-    """
-
-    fingerprint: bytes
-    target_id: str
-    boot_id: str
-    age_s: float
-
-
 @dataclasses.dataclass(frozen=True)
 class Hello:
     """First message on a connection."""
@@ -81,7 +68,7 @@
     config_digest: bytes = b''
     log_read_age_s: float | None = None
     targets: tuple[warmup.TargetFact, ...] = ()
-    marks: tuple[CrashMark, ...] = ()
+    marks: tuple[suspects.CrashMark, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True)
@@ -93,7 +80,7 @@
 
     notice_id: int
     targets: tuple[warmup.TargetFact, ...] = ()
-    marks: tuple[CrashMark, ...] = ()
+    marks: tuple[suspects.CrashMark, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True)
@@ -315,24 +302,33 @@
     )
 
 
-def _write_marks(builder, marks: typing.Sequence[CrashMark]) -> None:
+def _write_marks(builder, marks: typing.Sequence[suspects.CrashMark]) -> None:
     if not marks:
         return
     items = builder.init('marks', len(marks))
     for item, mark in zip(items, marks, strict=True):
-        item.fingerprint = _digest(mark.fingerprint, 'fingerprint')
         item.targetId = _name(mark.target_id, 'target id')
         item.bootId = _text(mark.boot_id, 'boot id')
+        item.failureDomain = _text(mark.failure_domain, 'failure domain')
         item.ageMs = _to_ms(mark.age_s, round_up=False)
+        item.ttlMs = _to_ms(mark.ttl_s, round_up=True)
+        prints = item.init('fingerprints', len(mark.fingerprints))
+        for number, fingerprint in enumerate(mark.fingerprints):
+            prints[number] = bytes.fromhex(fingerprint)
 
 
-def _read_marks(reader) -> tuple[CrashMark, ...]:
+def _read_marks(reader) -> tuple[suspects.CrashMark, ...]:
     return tuple(
-        CrashMark(
-            fingerprint=_digest(item.fingerprint, 'fingerprint'),
+        suspects.CrashMark(
             target_id=_name(item.targetId, 'target id'),
             boot_id=_text(item.bootId, 'boot id'),
+            failure_domain=_text(item.failureDomain, 'failure domain'),
             age_s=item.ageMs / 1000,
+            ttl_s=item.ttlMs / 1000,
+            fingerprints=tuple(
+                _digest(fingerprint, 'fingerprint').hex()
+                for fingerprint in item.fingerprints
+            ),
         )
         for item in reader.marks
     )
--- a/packages/wire/src/dragonflyslip_wire/peer.capnp
+++ b/packages/wire/src/dragonflyslip_wire/peer.capnp
@@ -53,10 +53,13 @@
 }
 
 struct CrashMark {
-  fingerprint @0 :Data;
-  targetId @1 :Text;
-  bootId @2 :Text;
+  targetId @0 :Text;
+  bootId @1 :Text;
+  failureDomain @2 :Text;
   ageMs @3 :UInt32;
+  ttlMs @4 :UInt32;
+  # 16 bytes for each request that was in flight.
+  fingerprints @5 :List(Data);
 }
 
 struct Notice {
--- a/packages/wire/tests/test_frames.py
+++ b/packages/wire/tests/test_frames.py
@@ -7,6 +7,7 @@
 import pytest
 
 from dragonflyslip_core import membership
+from dragonflyslip_core import suspects
 from dragonflyslip_core import warmup
 import dragonflyslip_wire as wire
 from dragonflyslip_wire import messages
@@ -26,7 +27,15 @@
     max_size=4,
 ).map(tuple)
 marks = strategies.lists(
-    strategies.builds(wire.CrashMark, digests, names, names, ages),
+    strategies.builds(
+        suspects.CrashMark,
+        names,
+        names,
+        names,
+        ages,
+        ages,
+        strategies.lists(digests.map(bytes.hex), max_size=3).map(tuple),
+    ),
     max_size=3,
 ).map(tuple)
 header_text = strategies.binary(max_size=20).map(
