Spare the silent pool while a reused connection is mute

Cause: until the first timeout, a busy entry went on to use the other connections of a silent pool, and lost a request on each.

Ruled out: a shorter timeout, which cuts off slow calls. Opening another connection costs 1 ms and cuts off nothing.

Each new test fails without the rule that it guards.

Conclusion: a reused connection that is mute for 0.25 s sends new requests to new connections; the pool is retired at the timeout as before.

--- a/packages/core/src/dragonflyslip_core/connections.py
+++ b/packages/core/src/dragonflyslip_core/connections.py
@@ -5,6 +5,10 @@
 
 from dragonflyslip_core import profiles
 
+# A pooled connection that has been mute this long may be silent. Opening
+# another costs 1 ms, so a slow target that is taken for silent loses little.
+MUTE_S = 0.25
+
 
 @dataclasses.dataclass(frozen=True)
 class Reuse:
@@ -44,6 +48,7 @@
     used_at: float
     busy: bool = True
     retired: bool = False
+    reused: bool = False
     # When the peer last owed a byte; None while it owes none.
     waiting_since: float | None = None
 
@@ -97,6 +102,7 @@
     def acquire(self, idempotent: bool, now: float) -> Reuse | Open | Wait:
         """Choose the connection for a request; the newest idle one first.
 
+        While a reused connection is mute, requests get new connections.
         A non-idempotent request gets a new connection: a pooled one may
         have gone silent, and the request could not be sent again. The
         connections named by the answer are in use or gone afterwards; the
@@ -106,9 +112,9 @@
         idle = [c for c in self._connections.values() if not c.busy]
         if idempotent:
             usable = [c for c in idle if not self._stale(c, now)]
-            if usable:
+            if usable and not self._mute(now):
                 newest = max(usable, key=lambda c: (c.opened_at, c.used_at))
-                newest.busy = True
+                newest.busy = newest.reused = True
                 return Reuse(newest.connection_id)
         surplus = len(self._connections) + 1 - self.limit
         if surplus > len(idle) or self.limit < 1:
@@ -131,6 +137,8 @@
     def await_progress(self, connection_id: int, now: float) -> None:
         """Start the progress deadline, or restart it after a byte.
 
+        The caller starts it as soon as the request is written.
+
         A body makes progress in either direction: bytes that the target
         accepts count as those that it sends.
         """
@@ -216,6 +224,14 @@
         for connection in self._connections.values():
             connection.retired = True
 
+    def _mute(self, now: float) -> bool:
+        return any(
+            c.reused
+            and c.waiting_since is not None
+            and now - c.waiting_since > MUTE_S
+            for c in self._connections.values()
+        )
+
     def _stale(self, connection: _Connection, now: float) -> bool:
         return connection.retired or now >= connection.used_at + self.idle_s
 
--- a/packages/core/tests/test_connections.py
+++ b/packages/core/tests/test_connections.py
@@ -87,6 +87,26 @@
         assert rules.silence(2, 6) == connections.Closures(silent=(2,))
         assert rules.acquire(True, 6) == connections.Reuse(9)
 
+    @pytest.mark.parametrize(
+        ('now', 'expected'),
+        [(4.25, connections.Reuse(2)), (4.26, connections.Open())],
+    )
+    def test_mute_connection_spares_the_pool(self, now, expected):
+        """Until the timeout, a busy caller would use up the silent pool."""
+        rules = _rules([0, 1, 2])
+        rules.acquire(True, 4)
+        rules.await_progress(3, 4)
+        assert rules.acquire(True, now) == expected
+        rules.await_progress(3, now)
+        assert rules.acquire(True, now) != connections.Open()
+
+    def test_slow_new_connection_leaves_the_pool_in_use(self):
+        """A slow request on a new connection says nothing of the pool."""
+        rules = _rules([0])
+        rules.opened(9, 1)
+        rules.await_progress(9, 1)
+        assert rules.acquire(True, 2.5) == connections.Reuse(1)
+
     def test_slow_caller_is_no_silence(self):
         """A caller that reads slowly must not cost the pool."""
         rules = _rules([0])
