--- /dev/null
+++ b/packages/operator/src/dragonflyslip_operator/settings.py
@@ -0,0 +1,186 @@
+"""Settings of the operator command: flags and environment variables."""
+
+import collections.abc
+import dataclasses
+import math
+import typing
+import urllib.parse
+
+from returns import result
+
+from dragonflyslip_operator import errors
+
+_MAX_AUTHOR_LENGTH = 200
+
+
+@dataclasses.dataclass(frozen=True)
+class Settings:
+    """Validated settings; empty texts are settings that were not given.
+
+    :param log_url: base address of the log service.
+    :param instances_url: base address of the instance list.
+    :param author: who publishes, as recorded with each change.
+    :param admin_port_offset: added to an entry's listed port.
+    :param timeout_s: seconds to read the log, and to resolve a change.
+    :param wait_timeout_s: seconds until a wait for entries gives up.
+    """
+
+    log_url: str = ''
+    instances_url: str = ''
+    author: str = ''
+    admin_port_offset: int = 1000
+    timeout_s: float = 10.0
+    wait_timeout_s: float = 30.0
+
+
+def _parse_url(text: str) -> str:
+    parts = urllib.parse.urlsplit(text)
+    # Reading the port raises ValueError if it is out of range.
+    if parts.scheme not in ('http', 'https') or parts.port == 0:
+        raise ValueError(text)
+    if not parts.hostname or parts.query or parts.fragment:
+        raise ValueError(text)
+    return text
+
+
+def _parse_author(text: str) -> str:
+    if not text.strip() or not text.isprintable():
+        raise ValueError(text)
+    if len(text) > _MAX_AUTHOR_LENGTH:
+        raise ValueError(text)
+    return text
+
+
+def _parse_integer(low: int, high: int) -> typing.Callable[[str], int]:
+    def parse(text: str) -> int:
+        value = int(text)
+        if not low <= value <= high:
+            raise ValueError(text)
+        return value
+
+    return parse
+
+
+def _parse_seconds(low: float, high: float) -> typing.Callable[[str], float]:
+    def parse(text: str) -> float:
+        value = float(text)
+        if not math.isfinite(value) or not low <= value <= high:
+            raise ValueError(text)
+        return value
+
+    return parse
+
+
+@dataclasses.dataclass(frozen=True)
+class Setting:
+    """How one setting is given.
+
+    :param name: field of :class:`Settings`.
+    :param allowed: the allowed values, in words.
+    :param parse: converts a text, or raises :exc:`ValueError`.
+    """
+
+    name: str
+    meaning: str
+    allowed: str
+    parse: typing.Callable[[str], typing.Any]
+
+    @property
+    def flag(self) -> str:
+        """Return the flag, such as ``--log-url``."""
+        return '--' + self.name.replace('_', '-')
+
+    @property
+    def variable(self) -> str:
+        """Return the variable, such as ``DRAGONFLYSLIP_LOG_URL``."""
+        return 'DRAGONFLYSLIP_' + self.name.upper()
+
+    @property
+    def default(self) -> str:
+        """Return the default value as text; empty if there is none."""
+        value = getattr(Settings(), self.name)
+        return value if isinstance(value, str) else f'{value:g}'
+
+
+_URL = 'an http or https address such as http://10.0.0.5:7000'
+
+SETTINGS = (
+    Setting('log_url', 'address of the log service', _URL, _parse_url),
+    Setting('instances_url', 'address of the instance list', _URL, _parse_url),
+    Setting(
+        'author',
+        'who publishes; recorded with each change',
+        f'1 to {_MAX_AUTHOR_LENGTH} printable characters',
+        _parse_author,
+    ),
+    Setting(
+        'admin_port_offset',
+        "added to an entry's listed port to reach its admin port",
+        'a whole number from 1 to 65534',
+        _parse_integer(1, 65_534),
+    ),
+    Setting(
+        'timeout_s',
+        'seconds to read the log, and to resolve a change',
+        'a number from 0.1 to 600',
+        _parse_seconds(0.1, 600.0),
+    ),
+    Setting(
+        'wait_timeout_s',
+        'seconds until a wait for the entries gives up',
+        'a number from 0.1 to 3600',
+        _parse_seconds(0.1, 3_600.0),
+    ),
+)
+
+
+def read_settings(
+    flags: collections.abc.Mapping[str, str],
+    environ: collections.abc.Mapping[str, str],
+    required: collections.abc.Set[str] = frozenset(),
+) -> result.Result[Settings, errors.SettingsError]:
+    """Return the settings, or every fault in them at once.
+
+    A flag takes precedence over its variable. A variable that is set to the
+    empty text counts as not set.
+
+    :param flags: values given as flags, by setting name.
+    :param environ: the process's environment variables.
+    :param required: names of the settings that the command needs.
+
+    >>> environ = {
+    ...     'DRAGONFLYSLIP_AUTHOR': 'moira',
+    ...     'DRAGONFLYSLIP_ADMIN_PORT_OFFSET': '7',
+    ...     'DRAGONFLYSLIP_TIMEOUT_S': '',
+    ... }
+    >>> settings = read_settings({'author': 'aroha'}, environ).unwrap()
+    >>> settings.author, settings.admin_port_offset, settings.timeout_s
+    ('aroha', 7, 10.0)
+    """
+    values = {}
+    faults = []
+    for setting in SETTINGS:
+        if setting.name in flags:
+            text, source = flags[setting.name], setting.flag
+        else:
+            text, source = environ.get(setting.variable, ''), setting.variable
+            if not text:
+                if setting.name in required:
+                    faults.append(_format_fault(setting, 'is not set'))
+                continue
+        try:
+            values[setting.name] = setting.parse(text)
+        except ValueError:
+            faults.append(
+                _format_fault(setting, f'is {text!r} (from {source})')
+            )
+    if faults:
+        return result.Failure(errors.SettingsError(faults))
+    return result.Success(Settings(**values))
+
+
+def _format_fault(setting: Setting, problem: str) -> str:
+    return (
+        f'{setting.flag} or {setting.variable} {problem}; '
+        f'allowed: {setting.allowed}'
+    )
