Add the operator command dragonflyslip

Cause: operators publish profiles and take failure domains and instances out of service on a log whose append responses can be lost and whose records expire, while others change the same items.

Change: a change carries the version that it replaces, is checked before the append, read back, and reported as accepted, as a lost race with the winner's change, or as uncertain. A lost append response is resolved by reading; the same change id is sent again at most once, after half of the timeout.

--- /dev/null
+++ b/packages/operator/src/dragonflyslip_operator/commands/services.py
@@ -0,0 +1,97 @@
+"""Commands that publish and list services."""
+
+import pydantic
+
+from dragonflyslip_core import config
+from dragonflyslip_core import models
+from dragonflyslip_operator import context as contexts
+from dragonflyslip_operator import errors
+from dragonflyslip_operator import output
+from dragonflyslip_operator import parsing
+
+_KIND = config.Kind.SERVICE
+
+
+def add_parsers(group: parsing.CommandGroup) -> None:
+    """Add the commands of ``service``."""
+    group = group.add_group('service', 'publish and list services')
+    publish = group.add_changing(
+        'publish',
+        publish_service,
+        'publish which profile and hosts a service has',
+        [
+            'casebook --profile status-calls',
+            'casebook --profile status-calls --host casebook.example --wait',
+        ],
+    )
+    publish.add_argument('name', metavar='NAME')
+    publish.add_argument('--profile', metavar='P', required=True)
+    hosts = publish.add_mutually_exclusive_group()
+    hosts.add_argument(
+        '--host',
+        action='extend',
+        nargs='+',
+        metavar='H',
+        help='Host header values that select the service, all of them; '
+        'without this option they stay as they are',
+    )
+    hosts.add_argument(
+        '--no-hosts',
+        action='store_true',
+        help='only the service name selects the service',
+    )
+    group.add_reading(
+        'list',
+        list_services,
+        'list the services in force',
+        'name, profile, hosts, version, author, time',
+        ['', '--json'],
+    )
+
+
+async def publish_service(context: contexts.Context) -> None:
+    """Publish a service; its profile must exist."""
+    arguments = context.arguments
+    state = await context.read_config()
+    current = state.service(arguments.name)
+    hosts = tuple(arguments.host or ())
+    if current is not None and not (hosts or arguments.no_hosts):
+        hosts = current.hosts
+    try:
+        model = models.ServiceModel(profile=arguments.profile, hosts=hosts)
+    except pydantic.ValidationError as error:
+        raise errors.InvalidChangeError(
+            [
+                f'--profile {arguments.profile}: not the name of a profile; '
+                f'allowed: {models.NAME_PATTERN}'
+            ]
+        ) from error
+    await context.publish(_KIND, arguments.name, model)
+
+
+async def list_services(context: contexts.Context) -> None:
+    """Print the services in name order."""
+    state = await context.read_config()
+    rows = [
+        (
+            name,
+            item.change.body.profile,
+            ','.join(item.change.body.hosts),
+            item.version,
+            item.change.author,
+            output.format_time(item.change.at_ms),
+        )
+        for name, item in sorted(state.items[_KIND].items())
+    ]
+    documents = [
+        {
+            'name': name,
+            'profile': profile,
+            'hosts': list(state.service(name).hosts),
+            'version': version,
+            'author': author,
+            'at': at,
+        }
+        for name, profile, _, version, author, at in rows
+    ]
+    context.out.print_data(documents, rows)
--- /dev/null
+++ b/packages/operator/src/dragonflyslip_operator/commands/status.py
@@ -0,0 +1,155 @@
+"""Commands that show what is in force, and wait for it."""
+
+import dataclasses
+
+from returns import result
+
+from dragonflyslip_core import config
+from dragonflyslip_operator import context as contexts
+from dragonflyslip_operator import entries
+from dragonflyslip_operator import errors
+from dragonflyslip_operator import output
+from dragonflyslip_operator import parsing
+import dragonflyslip_platform as platform
+
+
+def add_parsers(group: parsing.CommandGroup) -> None:
+    """Add the commands ``status`` and ``wait``."""
+    group.add_reading(
+        'status',
+        show_status,
+        'show what is out of service and what each entry has in force',
+        '"config", through, digest; "domain" or "instance", name, "out", '
+        'version, author, time, reason; "entry", name, failure domain, '
+        'condition, through, ready, isolated, digest',
+        ['', '--json'],
+        parsing.LOG | parsing.INSTANCES,
+    )
+    wait = group.add_reading(
+        'wait',
+        wait_for_offset,
+        'wait until an offset is in force on every listed entry',
+        '"in-force", offset, number of entries',
+        ['118', '118 --wait-timeout-s 60'],
+        parsing.INSTANCES,
+    )
+    wait.add_argument('offset', type=parsing.offset_type, metavar='OFFSET')
+
+
+@dataclasses.dataclass(frozen=True)
+class _EntryRow:
+    """One entry as ``status`` shows it."""
+
+    entry: str
+    failure_domain: str
+    condition: str
+    through: int | None = None
+    ready: bool | None = None
+    isolated: bool | None = None
+    digest: str | None = None
+
+
+async def show_status(context: contexts.Context) -> None:
+    """Print all parts that can be read; fail if one cannot be.
+
+    While the log is down the entries are still shown, and the other way
+    round.
+    """
+    faults = []
+    state = None
+    try:
+        state = await context.read_config()
+    except errors.SourceError as error:
+        faults.append(error.format_message())
+    rows: list[_EntryRow] = []
+    match await entries.list_entries(context.instances):
+        case result.Success(listed):
+            answers = await entries.read_states(context.admin, listed)
+            rows = [
+                _describe_entry(entry, answer, state)
+                for entry, answer in answers
+            ]
+        case result.Failure(error):
+            faults.append(error.format_message())
+    out_of_service = [] if state is None else _out_of_service(state)
+    summary = (
+        None
+        if state is None
+        else {'through': state.through, 'digest': state.digest()}
+    )
+    lines: list[tuple[object, ...]] = []
+    if summary is not None:
+        lines.append(('config', *summary.values()))
+    for item in out_of_service:
+        kind, name, *rest = item.values()
+        lines.append((kind, name, 'out', *rest))
+    lines.extend(('entry', *dataclasses.astuple(row)) for row in rows)
+    context.out.print_data(
+        {
+            'config': summary,
+            'out_of_service': out_of_service,
+            'entries': [dataclasses.asdict(row) for row in rows],
+        },
+        lines,
+    )
+    if faults:
+        raise errors.SourceError('; '.join(faults))
+
+
+async def wait_for_offset(context: contexts.Context) -> None:
+    """Wait for an offset and print the number of entries."""
+    offset = context.arguments.offset
+    count = await context.wait(offset)
+    context.out.print_data(
+        {'offset': offset, 'entries': count}, [('in-force', offset, count)]
+    )
+
+
+def _out_of_service(state: config.ConfigState) -> list[dict[str, object]]:
+    return [
+        {
+            'kind': kind.value,
+            'name': name,
+            'version': item.version,
+            'author': item.change.author,
+            'at': output.format_time(item.change.at_ms),
+            'reason': item.change.body.reason,
+        }
+        for kind in (config.Kind.DOMAIN, config.Kind.INSTANCE)
+        for name, item in sorted(state.items[kind].items())
+        if not item.change.body.in_service
+    ]
+
+
+def _describe_entry(
+    row: platform.ListedInstance,
+    answer: entries.StateResult,
+    state: config.ConfigState | None,
+) -> _EntryRow:
+    match answer:
+        case result.Failure(error):
+            return _EntryRow(
+                row.instance_id, row.failure_domain, error.format_message()
+            )
+    reported = answer.unwrap()
+    return _EntryRow(
+        row.instance_id,
+        row.failure_domain,
+        _condition(reported, state),
+        reported.through,
+        reported.ready,
+        reported.isolated,
+        reported.digest,
+    )
+
+
+def _condition(
+    reported: entries.EntryState, state: config.ConfigState | None
+) -> str:
+    if state is None:
+        return 'unknown'
+    if reported.through < state.through:
+        return 'behind'
+    if reported.through > state.through:
+        return 'ahead'
+    return 'current' if reported.digest == state.digest() else 'differs'
--- a/packages/operator/src/dragonflyslip_operator/entries.py
+++ b/packages/operator/src/dragonflyslip_operator/entries.py
@@ -9,7 +9,6 @@
 import aiohttp
 import pydantic
 from returns import result
-import yarl
 
 from dragonflyslip_operator import errors
 import dragonflyslip_platform as platform
@@ -123,9 +122,9 @@
         port = entry.port + self.port_offset
         if port > _MAX_PORT:
             return _failure(f'admin port {port} does not exist')
-        url = yarl.URL.build(
-            scheme='http', host=entry.address, port=port, path=path
-        )
+        # An IPv6 number stands in brackets in a URL.
+        host = f'[{entry.address}]' if ':' in entry.address else entry.address
+        url = f'http://{host}:{port}{path}'
         timeout = aiohttp.ClientTimeout(total=self.timeout_s)
         try:
             async with self.session.get(url, timeout=timeout) as response:
--- /dev/null
+++ b/packages/operator/tests/test_settings.py
@@ -0,0 +1,86 @@
+"""Settings: a faulty one must be named before anything is published."""
+
+import asyncio
+import io
+import json
+
+from aiohttp import test_utils
+import pytest
+
+from dragonflyslip_operator import cli
+from dragonflyslip_operator import settings
+import dragonflyslip_testing as stand_ins
+
+
+FAULTY = {
+    'log_url': ['', '10.0.0.5', 'ftp://a', 'http://', 'http://a:x'],
+    'instances_url': ['http://a:99999', 'http://a?b', 'http://a:0'],
+    'author': ['', ' ', 'a\nb', 'x' * 201],
+    'admin_port_offset': ['', '0', '-1', '65535', '1.5', 'x'],
+    'timeout_s': ['', '0', 'nan', 'inf', '601', 'x'],
+    'wait_timeout_s': ['0', '-1', '3601'],
+}
+
+
+class TestSettings:
+    @pytest.mark.parametrize('row', settings.SETTINGS)
+    def test_fault_names_flag_variable_value_and_allowed(self, row):
+        for text in FAULTY[row.name]:
+            read = settings.read_settings({row.name: text}, {})
+            (fault,) = read.failure().faults
+            for part in (row.flag, row.variable, repr(text), row.allowed):
+                assert part in fault
+
+
+class TestCommandLine:
+    def test_all_faults_are_reported_before_anything_is_sent(
+        self, memory_harness
+    ):
+        line = '--admin-port-offset=0 domain out a --wait --timeout-s=0'
+        environ = {'DRAGONFLYSLIP_LOG_URL': 'nowhere'}
+        run = memory_harness.run(*line.split(), environ=environ)
+        assert (run.code, run.stdout) == (2, '')
+        parts = (
+            "DRAGONFLYSLIP_LOG_URL is 'nowhere' (from DRAGONFLYSLIP_LOG_URL)",
+            'DRAGONFLYSLIP_INSTANCES_URL is not set',
+            'DRAGONFLYSLIP_AUTHOR is not set',
+            "DRAGONFLYSLIP_ADMIN_PORT_OFFSET is '0'",
+            "--timeout-s or DRAGONFLYSLIP_TIMEOUT_S is '0' (from --timeout-s)",
+        )
+        for fault, part in zip(run.stderr.splitlines(), parts, strict=True):
+            assert part in fault
+        assert memory_harness.log.appended == []
+
+    def test_unusable_command_line_exits_with_2(self, memory_harness):
+        lines = """
+            profile
+            profile diff p
+            profile rollback p --to x
+            profile publish p --file f --preset kauri
+            service publish s
+            domain out a --wai
+            wait -1
+            audit --since 1.5"""
+        for line in lines.splitlines():
+            assert memory_harness.run(*line.split()).code == 2, line
+
+    async def test_settings_reach_the_clients(self):
+        """Runs the entry point as installed, against a server over HTTP."""
+        memory = stand_ins.MemoryLog()
+        application = stand_ins.log_application(memory)
+        async with test_utils.TestServer(application) as server:
+            url = server.make_url('/')
+            for line in ('domain out a', 'audit --json'):
+                argv = [*line.split(), '--author=moira', f'--log-url={url}']
+                out = io.StringIO()
+                assert 0 == await asyncio.to_thread(cli.main, argv, {}, out)
+        assert json.loads(out.getvalue())[0]['author'] == 'moira'
+
+    def test_interruption_has_its_own_exit_code(self):
+        def interrupt(*arguments):
+            raise KeyboardInterrupt
+
+        environ = {'DRAGONFLYSLIP_LOG_URL': 'http://127.0.0.1:7000'}
+        err = io.StringIO()
+        assert cli.main(['audit'], environ, None, err, interrupt) == 130
+        assert 'interrupted' in err.getvalue()
