--- /dev/null
+++ b/packages/operator/tests/test_docs.py
@@ -0,0 +1,167 @@
+"""The operators' pages: what they say must be what the command does."""
+
+import pathlib
+import re
+import shlex
+import typing
+
+import pytest
+
+from dragonflyslip_core import models
+from dragonflyslip_core import profiles
+from dragonflyslip_operator import cli
+from dragonflyslip_operator import errors
+from dragonflyslip_operator import settings
+
+PAGES = pathlib.Path(__file__).parents[3] / 'docs' / 'operators'
+# Change ids are random and are part of the digest.
+DIGEST = re.compile(r'\b[0-9a-f]{64}\b')
+
+
+def rows_of(page, first_cell):
+    """Return the rows of the table whose heading starts so, as texts."""
+    text = (PAGES / page).read_text()
+    table = text.split(f'| {first_cell} |')[1].split('\n\n')[0]
+    return [
+        [cell.strip() for cell in line.strip('|').split(' | ')]
+        for line in table.splitlines()[2:]
+    ]
+
+
+def shown(value):
+    """Return numbers with separators, and texts in code font."""
+    if isinstance(value, (int, float)):
+        return f'{value:,}'.removesuffix('.0')
+    values = [value] if isinstance(value, str) else value
+    return ', '.join(f'`{text}`' for text in values)
+
+
+def allowed(field):
+    """Return the bounds or the choices of a model's field."""
+    bounds = [
+        shown(getattr(bound, side))
+        for side in ('ge', 'le')
+        for bound in field.metadata
+        if hasattr(bound, side)
+    ]
+    choices = typing.get_args(field.annotation)
+    if choices and choices[-1] is Ellipsis:
+        choices = typing.get_args(choices[0])
+    return ' to '.join(bounds) or shown(choices)
+
+
+class TestTables:
+    def test_profile_fields_agree_with_the_model(self):
+        fields = models.ProfileModel.model_fields
+        rows = rows_of('profiles.md', 'field | unit | default')
+        assert [[name, *rest] for name, _, *rest, _ in rows] == [
+            [f'`{name}`', shown(field.default), allowed(field)]
+            for name, field in fields.items()
+        ]
+        units = {'ms': 'ms', 's': 's', 'percent': '%'}
+        for name, unit, *_, meaning in rows:
+            suffix = name.strip('`').rpartition('_')[2]
+            if suffix in units and '_per_' not in name:
+                assert unit.split()[0] == units[suffix], name
+            assert meaning
+
+    def test_presets_agree(self):
+        rows = rows_of('profiles.md', 'field | `stairlift`')
+        assert {
+            (name.strip('`'), preset): value
+            for name, *values in rows
+            for preset, value in zip(profiles.PRESETS, values, strict=True)
+            if value != 'default'
+        } == {
+            (field, preset): shown(getattr(model, field))
+            for preset, model in profiles.PRESETS.items()
+            for field in model.model_fields_set
+        }
+
+    def test_settings_agree(self):
+        rows = rows_of('settings.md', 'flag')
+        assert rows == [
+            [shown(row.flag), shown(row.variable), row.default or 'none']
+            + [row.allowed, row.meaning]
+            for row in settings.SETTINGS
+        ]
+
+    def test_exit_codes_agree_and_are_in_help(self, capsys):
+        rows = rows_of('commands.md', 'code')
+        assert rows == [
+            [str(code), meaning] for code, meaning in errors.EXIT_CODES.items()
+        ]
+        for argv in ([], ['profile'], ['domain', 'out']):
+            with pytest.raises(SystemExit):
+                cli.main([*argv, '--help'])
+            text = capsys.readouterr().out
+            assert all(meaning in text for _, meaning in rows)
+
+
+def parse_examples(page):
+    """Return the files and the (command, expected lines) of a page."""
+    text = (PAGES / page).read_text()
+    files = re.findall(r'`([\w-]+\.json)`:\n\n```json\n(.*?)```', text, re.S)
+    examples = []
+    for block in re.findall(r'```console\n(.*?)```', text, re.S):
+        for line in block.splitlines():
+            if line.startswith('$ '):
+                examples.append((line[2:], []))
+            else:
+                examples[-1][1].append(line)
+    return files, examples
+
+
+def prepare(page, harness):
+    """Set up what a page's examples assume."""
+    suspect = {
+        'fingerprint': '0f3a9c',
+        'crashes': [['casebook-7', 'a1'], ['casebook-8', 'c4']],
+        'expires_in_s': 512.0,
+    }
+    for name, domain in (('entry-1', 'a'), ('entry-2', 'b')):
+        harness.list_instance(name, domain=f'scot-central-{domain}')
+        harness.entries.answers['/suspects'][name] = {'suspects': [suspect]}
+        harness.entries.follow(name)
+    for name in ('casebook-7', 'casebook-8'):
+        harness.list_instance(name, 'target', 'scot-central-b')
+    if page == 'outage.md':
+        harness.faults.down = True
+        for name in ('entry-1', 'entry-2'):
+            harness.entries.set_state(name, 12, 'a5' * 32)
+    if page == 'take-out.md':
+        harness.entries.follow('entry-2', 2)
+        # After the first wait has given up.
+        harness.clock.events.append(
+            (40, lambda: harness.entries.follow('entry-2'))
+        )
+
+
+def mask(lines):
+    """Return lines in any order, as stdout and stderr mix in a terminal."""
+    return sorted(DIGEST.sub('DIGEST', line) for line in lines)
+
+
+class TestExamples:
+    @pytest.mark.parametrize(
+        'page', sorted(path.name for path in PAGES.iterdir())
+    )
+    def test_examples_print_what_the_page_shows(
+        self, page, memory_harness, tmp_path, monkeypatch
+    ):
+        monkeypatch.chdir(tmp_path)
+        files, examples = parse_examples(page)
+        for name, content in files:
+            (tmp_path / name).write_text(content)
+        prepare(page, memory_harness)
+        assert examples
+        run = None
+        for command, expected in examples:
+            if command == 'echo $?':
+                assert expected == [str(run.code)]
+                continue
+            program, *argv = shlex.split(command)
+            assert program == 'dragonflyslip'
+            run = memory_harness.run(*argv)
+            lines = (run.stdout + run.stderr).splitlines()
+            assert mask(lines) == mask(expected), command
