--- /dev/null
+++ b/bench/hedging.py
@@ -0,0 +1,166 @@
+"""Tail latency with and without hedges, and what they cost.
+
+Run ``python -m bench.hedging``; section 3.7 of the design has the rules.
+"""
+
+import collections
+import itertools
+import random
+
+from dragonflyslip_core import profiles
+from dragonflyslip_core import retries
+from dragonflyslip_testing import queue_model
+
+SEED = 11
+TARGETS = 20
+CALLS = 40_000
+LATENCY_WEIGHT = 0.1
+SLOWDOWN = 10.0
+# Share of sends that a stall slows down, at any target.
+STALLS = 0.02
+FAULTS = ('none', 'slow-target', 'stalls')
+# Mean service time and the delay of a hedge; kauri has hedges off, so the
+# trial there takes the same multiple of the service time as stairlift.
+CASES = {'stairlift': (0.02, 0.15), 'kauri': (0.5, 3.75)}
+
+
+class Model:
+    """One entry that sends to the better of two random targets."""
+
+    def __init__(
+        self, name: str, load: float, fault: str, hedged: bool, choice: str
+    ):
+        self.profile = profiles.Profile.from_model(
+            name, profiles.PRESETS[name]
+        )
+        self.service_s, after_s = CASES[name]
+        self.simulation = queue_model.Simulation()
+        slow = 1 if fault == 'slow-target' else 0
+        self.targets = [
+            queue_model.SlotTarget(
+                self.simulation,
+                self.profile.slots,
+                SLOWDOWN if i < slow else 1.0,
+            )
+            for i in range(TARGETS)
+        ]
+        self.choice = choice
+        self.stalls = STALLS if fault == 'stalls' else 0.0
+        self.in_flight = [0] * TARGETS
+        self.latency_s = [self.service_s] * TARGETS
+        self.rate = load * TARGETS * self.profile.slots / self.service_s
+        self.rng = random.Random(SEED)
+        self.work_rng = random.Random(SEED + 1)
+        self.hedges = retries.HedgePolicy.from_profile(self.profile)
+        self.hedges.after_s = after_s if hedged else 0.0
+        self.left = CALLS
+        self.counts = collections.Counter()
+        self.latencies = []
+
+    def run(self) -> None:
+        """Run until every call has ended."""
+        self.arrive()
+        self.simulation.run(CALLS / self.rate + 100 * self.service_s * 20)
+
+    def work(self) -> float:
+        """Return the work of one send."""
+        work_s = self.work_rng.expovariate(1 / self.service_s)
+        stalled = self.work_rng.random() < self.stalls
+        return work_s * (SLOWDOWN if stalled else 1.0)
+
+    def load_of(self, place: int) -> float:
+        """Return what the choice of a target minimises."""
+        if self.choice == 'in-flight':
+            return self.in_flight[place]
+        return (self.in_flight[place] + 1) * self.latency_s[place]
+
+    def learn(self, place: int, latency_s: float) -> None:
+        """Learn the latency of a send; a cancelled one took at least this."""
+        error = latency_s - self.latency_s[place]
+        self.latency_s[place] += LATENCY_WEIGHT * error
+
+    def arrive(self) -> None:
+        """Let one call arrive and schedule the next."""
+        now = self.simulation.now
+        self.hedges.budget.record_call()
+        sends = []
+        first = min(self.rng.sample(range(TARGETS), 2), key=self.load_of)
+        self.send(first, now, sends)
+        call = retries.CallProgress(
+            True, 1, False, False, now + self.profile.deadline_ms / 1000
+        )
+        at = self.hedges.hedge_at(call, now)
+        if at is not None:
+            self.simulation.at(at, lambda: self.hedge(call, now, sends))
+        self.left -= 1
+        if self.left:
+            self.simulation.at(
+                now + self.rng.expovariate(self.rate), self.arrive
+            )
+
+    def hedge(self, call: retries.CallProgress, arrived: float, sends) -> None:
+        """Send a second time if the policy allows it."""
+        if any(job.ended for _, job in sends):
+            return
+        place = min(
+            (i for i in range(TARGETS) if i != sends[0][0]),
+            key=lambda i: (self.load_of(i), i),
+        )
+        free = self.profile.slots - self.in_flight[place]
+        decision = self.hedges.next_hedge(
+            call, self.simulation.now, free, waiting=0
+        )
+        if isinstance(decision, retries.NoRepeat):
+            self.counts[f'denied-{decision.reason.value}'] += 1
+            return
+        self.counts['hedges'] += 1
+        self.send(place, arrived, sends)
+
+    def send(self, place: int, arrived: float, sends) -> None:
+        """Send to a target; the first response cancels the other send."""
+        self.in_flight[place] += 1
+        began = self.simulation.now
+
+        def done() -> None:
+            self.in_flight[place] -= 1
+            self.learn(place, self.simulation.now - began)
+            self.latencies.append(self.simulation.now - arrived)
+            for other, job in sends:
+                if job is not sent:
+                    self.targets[other].cancel(job)
+                    self.in_flight[other] -= 1
+                    self.learn(other, self.simulation.now - arrived)
+                    self.counts['cancelled'] += 1
+            self.counts['hedge-won'] += sends[0][1] is not sent
+
+        sent = queue_model.Job(self.work(), done)
+        sends.append((place, sent))
+        self.targets[place].submit(sent)
+
+
+def main() -> None:
+    """Print the table."""
+    print(
+        f'seed {SEED}, {TARGETS} targets, {CALLS} calls, slow is 10 x,'
+        f' stalls {STALLS:.0%} of sends'
+    )
+    for name, choice, load, fault, hedged in itertools.product(
+        CASES, ('in-flight', 'latency'), (0.5, 0.9), FAULTS, (False, True)
+    ):
+        model = Model(name, load, fault, hedged, choice)
+        model.run()
+        values = ' '.join(
+            f'p{p}={queue_model.percentile(model.latencies, p) * 1000:.0f}'
+            for p in (50, 99, 99.9)
+        )
+        cost = model.counts['hedges'] / CALLS
+        print(
+            f'{name:9} choice={choice:9} load={load:.0%} '
+            f'fault={fault:11} hedges={hedged!s:5} '
+            f'{values} ms answered={len(model.latencies)} sends=+{cost:.2%} '
+            + ' '.join(f'{k}={v}' for k, v in sorted(model.counts.items()))
+        )
+
+
+if __name__ == '__main__':
+    main()
