Test the lower end of the limit and unused windows again

Cause: with windows of responses, two rules of the concurrency limit could be taken out without a failing test: the lower bound of 1 and the reset of the mark that a window was in use.

Ruled out: a test of the attributes. The tests look at the limit only.

Before: both changes to the module passed.

After: each makes a test fail.

Conclusion: the former checks stay, with the bound and one window in use added; the limit grows by that window alone.

--- a/packages/core/tests/test_limits.py
+++ b/packages/core/tests/test_limits.py
@@ -40,6 +40,7 @@
             now += 0.02
             limit.record_response(latency, limit.allowed, now)
             seen.add(limit.allowed)
+            assert 1.0 <= limit.limit <= slots
         assert seen == set(range(1, slots + 1)) and limit.allowed == slots
 
     def test_one_round_trip_of_sheds_cuts_once(self):
@@ -55,8 +56,10 @@
         """Good responses at low load say nothing of a higher limit."""
         limit = limits.AdaptiveLimit(6, limit=2.0)
         for step in range(100):
-            limit.record_response(0.02, 1, now=step * 0.1)
-        assert limit.allowed == 2
+            in_flight = 2 if step == 0 else 1
+            limit.record_response(0.02, in_flight, now=step * 0.1)
+        # Only the first window was in use.
+        assert limit.allowed == 3
 
     def test_baseline_is_slow_to_accept_overload(self):
         """A minute of overload must not become the normal latency."""
