--- /dev/null
+++ b/bench/claims.py
@@ -0,0 +1,350 @@
+"""Claims on the log against single ownership with leases.
+
+Run as ``python -m bench.claims``. Everything runs on a hand-driven model
+with fixed seeds; no socket is opened and no clock is read.
+"""
+
+import argparse
+import collections
+import heapq
+import itertools
+import random
+
+from dragonflyslip_core import budgets
+from dragonflyslip_core import claim_batches
+from dragonflyslip_core import claims
+
+ENTRIES = 18
+BUDGET_PER_S = 300.0
+LOG_APPENDS_PER_S = 400.0
+LOG_LATENCY_S = 0.002
+READ_LATENCY_S = 0.001
+PEER_ROUND_TRIP_S = 0.003
+RUN_S = 0.020
+CALLER_TIMEOUT_S = 2.0
+ATTEMPTS = 4
+LEASE_S = 3.0
+RENEW_S = 1.0
+# Time for a new entry to read the claims that the log holds.
+READ_RECORDS_PER_S = 50_000.0
+START_S = 0.1
+WALL = 1_700_000_000.0
+
+
+class Entry:
+    """One entry of the model; ``paused_until`` delays its steps."""
+
+    def __init__(self, name, ready_at, batcher):
+        self.name = name
+        self.ready_at = ready_at
+        self.alive = True
+        self.paused_until = 0.0
+        self.catch_next_send = False
+        self.batcher = batcher
+        self.calls = {}
+        self.known = set()
+        self.lease_until = ready_at + LEASE_S
+
+
+class Model:
+    """Event queue, log, callers and the count of runs by key."""
+
+    def __init__(self, mode, rate, seconds, seed, faults):
+        self.mode, self.rate, self.seconds = mode, rate, seconds
+        self.rng = random.Random(seed)
+        self.now, self.order = 0.0, itertools.count()
+        self.events = []
+        self.table = claims.ClaimTable()
+        self.log_free_at = 0.0
+        self.appends = self.bytes = self.claims = 0
+        self.latencies = []
+        self.runs = collections.Counter()
+        self.arrived_at, self.answered = {}, set()
+        self.refused = 0
+        self.names = itertools.count(1)
+        self.entries = [self.make_entry(0.0) for _ in range(ENTRIES)]
+        self.faults = faults
+
+    def make_entry(self, ready_at):
+        if self.mode == 'at once':
+            bucket = budgets.TokenBucket(1e9, 1e9, 1e9, 0.0)
+        else:
+            bucket = budgets.TokenBucket(BUDGET_PER_S / ENTRIES, 2.0)
+            bucket.refill(self.now)
+        name = f'entry-{next(self.names)}/0123456789abcdef'
+        appends = 10**9 if self.mode == 'at once' else 8
+        batcher = claims.ClaimBatcher(name, bucket, max_appends=appends)
+        return Entry(name, ready_at, batcher)
+
+    def at(self, when, step, *arguments):
+        heapq.heappush(self.events, (when, next(self.order), step, arguments))
+
+    def on(self, entry, when, step, *arguments):
+        """Run a step at an entry, after its pause, unless it has died."""
+        self.at(when, self.run_on, entry, step, arguments)
+
+    def run_on(self, entry, step, arguments):
+        if not entry.alive:
+            return
+        if self.now < entry.paused_until:
+            self.on(entry, entry.paused_until, step, *arguments)
+        else:
+            step(entry, *arguments)
+
+    def run(self):
+        gap = self.rng.expovariate(self.rate)
+        self.at(gap, self.arrive, 0)
+        if self.mode == 'leases':
+            for entry in self.entries:
+                self.on(entry, self.rng.random(), self.renew)
+        if self.faults == 'pauses':
+            self.at(3.0, self.pause)
+        elif self.faults == 'replacements':
+            self.at(5.0, self.replace)
+        end = self.seconds + 30.0
+        while self.events and self.events[0][0] < end:
+            self.now, _, step, arguments = heapq.heappop(self.events)
+            step(*arguments)
+
+    def arrive(self, number):
+        stamp = int((WALL + self.now) * 1000).to_bytes(6)
+        key = claims.Key('', stamp + number.to_bytes(10), WALL + self.now)
+        self.arrived_at[key] = self.now
+        self.claims += 1
+        self.attempt(key, 1)
+        later = self.now + self.rng.expovariate(self.rate)
+        if later < self.seconds:
+            self.at(later, self.arrive, number + 1)
+
+    def attempt(self, key, number):
+        if key in self.answered or number > ATTEMPTS:
+            return
+        entry = self.rng.choice(self.entries)
+        if self.mode == 'leases':
+            # The entry forwards the call to the key's owner.
+            entry = self.entries[key.key_hash[-1] % ENTRIES]
+            delay = PEER_ROUND_TRIP_S
+        else:
+            delay = 0.0
+        if self.now < entry.ready_at:
+            self.refused += 1
+        else:
+            self.on(entry, self.now + delay, self.receive, key, number)
+        self.at(self.now + CALLER_TIMEOUT_S, self.attempt, key, number + 1)
+
+    def receive(self, entry, key, number):
+        if self.mode == 'leases':
+            if key in entry.known:
+                return
+            if self.now >= entry.lease_until:
+                self.refused += 1
+                return
+            entry.known.add(key)
+            self.checked(entry, key, number)
+            return
+        found = self.table.find('upload', key)
+        if found is not None and found.holder is not None:
+            return
+        call = entry.batcher.submit('upload', key, b'f' * 8, number == 1)
+        entry.calls[call.record.claim_id] = (call, number)
+        self.append(entry)
+
+    def append(self, entry):
+        batch = entry.batcher.next_batch(self.now)
+        if batch is None:
+            delay = entry.batcher.delay(self.now)
+            if delay < float('inf'):
+                wait = max(delay, 1e-4)
+                self.on(entry, self.now + wait, self.append)
+            return
+        self.bytes += len(batch.data)
+        done = self.use_log()
+        self.at(done, self.appended, entry, batch)
+
+    def use_log(self):
+        self.appends += self.now < self.seconds
+        self.log_free_at = max(self.log_free_at, self.now)
+        self.log_free_at += 1 / LOG_APPENDS_PER_S
+        return self.log_free_at + self.rng.expovariate(1 / LOG_LATENCY_S)
+
+    def appended(self, entry, batch):
+        offset = self.table.through + 1
+        at_ms = int((WALL + self.now) * 1000)
+        events = claims.apply_claim_record(
+            self.table, offset, at_ms, batch.data
+        )
+        when = self.now + READ_LATENCY_S
+        self.on(entry, when, self.read, batch.batch_id, offset, events)
+
+    def read(self, entry, batch_id, offset, events):
+        entry.batcher.batch_appended(batch_id, offset)
+        entry.batcher.observe(self.table, events)
+        for event in events:
+            call, number = entry.calls.pop(event.record.claim_id)
+            if call.begin_send():
+                self.checked(entry, call.key, number)
+        self.append(entry)
+
+    def checked(self, entry, key, number):
+        """The right to send was checked; the write comes next."""
+        if entry.catch_next_send:
+            # The worst moment for a pause.
+            entry.catch_next_send = False
+            entry.paused_until = self.now + self.rng.uniform(0.5, 8.0)
+        self.on(entry, max(self.now, entry.paused_until), self.send, key)
+
+    def send(self, entry, key):
+        self.runs[key] += 1
+        if self.runs[key] == 1:
+            self.latencies.append(self.now - self.arrived_at[key])
+        self.on(entry, self.now + RUN_S, self.answer, key)
+
+    def answer(self, entry, key):
+        self.answered.add(key)
+
+    def renew(self, entry):
+        self.use_log()
+        # Another entry may have taken an expired lease over meanwhile.
+        if entry in self.entries:
+            entry.lease_until = self.now + LEASE_S
+            self.on(entry, self.now + RENEW_S, self.renew)
+
+    def pause(self):
+        entry = self.rng.choice(self.entries)
+        entry.catch_next_send = True
+        if self.mode == 'leases':
+            self.at(self.now + LEASE_S + 1.0, self.take_over, entry)
+        if self.now + 3.0 < self.seconds:
+            self.at(self.now + 3.0, self.pause)
+
+    def take_over(self, entry):
+        """A lease that expired goes to a new owner; the old one lives on."""
+        if entry in self.entries and self.now > entry.lease_until:
+            owner = self.make_entry(self.now)
+            self.entries[self.entries.index(entry)] = owner
+            self.on(owner, self.now, self.renew)
+
+    def replace(self):
+        index = self.rng.randrange(ENTRIES)
+        self.entries[index].alive = False
+        ready_at = self.now + START_S
+        if self.mode == 'leases':
+            # Nobody may own the keys until the lease has expired.
+            ready_at = max(ready_at, self.entries[index].lease_until)
+        else:
+            ready_at += self.table.through / READ_RECORDS_PER_S
+        entry = self.make_entry(ready_at)
+        self.entries[index] = entry
+        if self.mode == 'leases':
+            self.on(entry, ready_at, self.renew)
+        if self.now + 5.0 < self.seconds:
+            self.at(self.now + 5.0, self.replace)
+
+
+def percentile(values, percent):
+    """Return a percentile of ``values`` in ms, by nearest rank."""
+    ordered = sorted(values)
+    index = min(len(ordered) - 1, int(len(ordered) * percent / 100))
+    return ordered[index] * 1000
+
+
+def print_table(titles, rows):
+    """Print rows as a Markdown table."""
+    print('| ' + ' | '.join(titles) + ' |')
+    print('|' + '---|' * len(titles))
+    for row in rows:
+        print('| ' + ' | '.join(str(cell) for cell in row) + ' |')
+    print()
+
+
+def load_row(mode, rate, seconds, seed):
+    """Return one row of the table without faults."""
+    model = Model(mode, rate, seconds, seed, faults=None)
+    model.run()
+    done = len(model.latencies)
+    return (
+        mode,
+        rate,
+        f'{percentile(model.latencies, 50):.1f}',
+        f'{percentile(model.latencies, 99):.1f}',
+        f'{model.appends / seconds:.0f}',
+        f'{model.appends / model.claims:.2f}',
+        f'{model.bytes / model.claims:.0f}',
+        f'{model.claims - done}',
+    )
+
+
+def fault_row(mode, rate, seconds, seeds, faults):
+    """Return one row of the table with pauses or replacements."""
+    totals = collections.Counter()
+    for seed in seeds:
+        model = Model(mode, rate, seconds, seed, faults)
+        model.run()
+        totals['claims'] += model.claims
+        totals['refused'] += model.refused
+        totals['double'] += sum(n > 1 for n in model.runs.values())
+        totals['lost'] += model.claims - len(model.runs)
+    gap = 3.0 if faults == 'pauses' else 5.0
+    count = len(seeds) * int((seconds - 0.001) / gap)
+    return (
+        mode,
+        faults,
+        totals['claims'],
+        count,
+        totals['refused'],
+        f'{totals["refused"] / rate / count * 1000:.1f}',
+        totals['double'],
+        totals['lost'],
+    )
+
+
+def main():
+    """Print both tables."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--seed', type=int, default=1)
+    parser.add_argument('--seconds', type=int, default=20)
+    options = parser.parse_args()
+    modes = ('at once', 'grouped', 'leases')
+    print(f'seed {options.seed}, {options.seconds} s, {ENTRIES} entries')
+    print(f'batch limit {claim_batches.MAX_BATCH_BYTES} bytes\n')
+    print_table(
+        (
+            'mode',
+            'claims/s',
+            'added p50 ms',
+            'added p99 ms',
+            'appends/s',
+            'appends/claim',
+            'bytes/claim',
+            'not run',
+        ),
+        [
+            load_row(mode, rate, options.seconds, options.seed)
+            for mode in modes
+            for rate in (50, 150, 300, 450, 1_000, 3_000)
+            # Beyond the log's capacity the queue only grows.
+            if mode != 'at once' or rate <= 450
+        ],
+    )
+    seeds = range(options.seed, options.seed + 3)
+    print_table(
+        (
+            'mode',
+            'kind of fault',
+            'claims',
+            'faults',
+            'attempts refused',
+            'ms of all work refused per fault',
+            'double runs',
+            'lost submissions',
+        ),
+        [
+            fault_row(mode, 200, 60, seeds, faults)
+            for faults in ('pauses', 'replacements')
+            for mode in modes
+        ],
+    )
+
+
+if __name__ == '__main__':
+    main()
--- a/packages/core/src/dragonflyslip_core/claims.py
+++ b/packages/core/src/dragonflyslip_core/claims.py
@@ -196,7 +196,8 @@
         forgotten = 0
         while self._by_time and self._by_time[0][0] <= cutoff:
             _, key = self._by_time.popleft()
-            if self.keys[key].last_at_s <= cutoff:
+            claims = self.keys.get(key)
+            if claims is not None and claims.last_at_s <= cutoff:
                 del self.keys[key]
                 forgotten += 1
                 self.floor_s = max(self.floor_s, cutoff + _CLAIM_LEAD_S)
