Send to targets over the client's protocol instead of its session

Change: one HttpConnection wraps the client's protocol, parser and writer.

Ruled out: an own parser.

Conclusion: less code between check and write.

--- a/packages/entry/src/dragonflyslip_entry/attempts.py
+++ b/packages/entry/src/dragonflyslip_entry/attempts.py
@@ -15,6 +15,7 @@
 from dragonflyslip_entry import connections
 from dragonflyslip_entry import dispatcher
 from dragonflyslip_entry import errors
+from dragonflyslip_entry import http_connection
 from dragonflyslip_entry import peer_controller
 from dragonflyslip_entry import probe_controller
 from dragonflyslip_entry import progress
@@ -33,7 +34,7 @@
     """A send whose response headers have arrived."""
 
     grant: dispatcher.Grant
-    attempt: upstream.Attempt
+    attempt: http_connection.Attempt
     exchange: upstream.Exchange
     headers_at: float
     report: targets.LoadReport | None
@@ -90,28 +91,28 @@
                 raise errors.SendRefusedError('claim', 'claim is not held')
             call.written = True
 
-        attempt = upstream.Attempt(check)
+        attempt = http_connection.Attempt(check)
+        request = http_connection.Request(
+            call.method,
+            call.path,
+            _request_headers(call, repeated),
+            None if body is None else body.stream(),
+            call.expects_continue and body is not None,
+        )
         pool = self.pools.of(grant.target, call.profile)
         try:
             exchange = await pool.send(
+                request,
                 attempt,
-                call.method,
-                call.path,
-                _request_headers(call, repeated),
-                None if body is None else body.stream(),
-                call.expects_continue and body is not None,
-                idempotent=call.idempotent,
-                connect_timeout_s=call.profile.connect_timeout_ms / 1000,
-                read_timeout_s=call.profile.progress_timeout_ms / 1000,
+                call.profile,
+                call.idempotent and not repeated,
+                call.deadline_at,
             )
         except errors.SendRefusedError:
             self.granting.finish(grant, dispatcher.Ending(None))
             raise
         except errors.TargetError as error:
             call.lost |= attempt.written
-            if body is not None and body.error is not None:
-                self.granting.finish(grant, dispatcher.Ending(None))
-                raise body.error from error
             written_at = attempt.written_at if attempt.written else None
             self.granting.finish(
                 grant, dispatcher.Ending(written_at, failed=True)
@@ -124,10 +125,10 @@
             raise
         return self._sent(grant, attempt, exchange)
 
-    async def finish(self, call: calls.Call, sent: Sent) -> None:
+    def finish(self, call: calls.Call, sent: Sent) -> None:
         """Release the connection and account for the response."""
-        complete = sent.exchange.response.content.is_eof()
-        await sent.exchange.close()
+        complete = sent.exchange.response.whole
+        sent.exchange.close()
         failed = sent.exchange.response.status >= 500
         self.granting.finish(
             sent.grant,
@@ -213,13 +214,13 @@
             if task.cancelled() or task.exception() is not None:
                 continue
             if winner_seen:
-                await self.finish(call, task.result())
+                self.finish(call, task.result())
             winner_seen = True
 
     def _sent(
         self,
         grant: dispatcher.Grant,
-        attempt: upstream.Attempt,
+        attempt: http_connection.Attempt,
         exchange: upstream.Exchange,
     ) -> Sent:
         report = None
--- a/packages/entry/src/dragonflyslip_entry/connections.py
+++ b/packages/entry/src/dragonflyslip_entry/connections.py
@@ -1,7 +1,6 @@
 """The connections of this entry to all targets."""
 
 import asyncio
-import typing
 
 from dragonflyslip_core import profiles
 from dragonflyslip_core import targets
@@ -19,7 +18,6 @@
     def __init__(self, share: float = 1.0):
         self.share = share
         self.pools: dict[str, upstream.TargetConnections] = {}
-        self._closing: set[asyncio.Task[None]] = set()
 
     def of(
         self, target: targets.Target, profile: profiles.Profile
@@ -40,7 +38,7 @@
         """Close the connections to a target once its calls have ended."""
         pool = self.pools.pop(instance_id, None)
         if pool is not None:
-            self._run(pool.retire())
+            pool.retire()
 
     async def run(self) -> None:
         """Close idle connections for ever."""
@@ -48,12 +46,12 @@
         while True:
             await asyncio.sleep(POLL_S)
             for pool in list(self.pools.values()):
-                await pool.poll(loop.time())
+                pool.poll(loop.time())
 
-    async def close(self) -> None:
+    def close(self) -> None:
         """Close all connections."""
         for pool in self.pools.values():
-            await pool.close()
+            pool.close()
 
     def _replace(
         self,
@@ -69,14 +67,9 @@
             pool.target = target
             return pool
         if pool is not None:
-            self._run(pool.retire())
+            pool.retire()
         pool = upstream.TargetConnections.from_profile(
             target, profile, self.share
         )
         self.pools[target.instance_id] = pool
         return pool
-
-    def _run(self, closing: typing.Coroutine) -> None:
-        task = asyncio.get_running_loop().create_task(closing)
-        self._closing.add(task)
-        task.add_done_callback(self._closing.discard)
--- a/packages/entry/src/dragonflyslip_entry/daemon.py
+++ b/packages/entry/src/dragonflyslip_entry/daemon.py
@@ -300,8 +300,8 @@
         await self.server.shutdown(timeout=0.0)
         await admin_runner.cleanup()
         await self.peers.links.close()
-        await self.watching.close()
-        await self.pools.close()
+        self.watching.close()
+        self.pools.close()
         await self.session.close()
 
     async def _listen_callers(self) -> asyncio.Server:
--- /dev/null
+++ b/packages/entry/src/dragonflyslip_entry/http_connection.py
@@ -0,0 +1,242 @@
+"""One HTTP/1.1 connection to a target.
+
+It is built on the HTTP client's protocol, parser and writer, without its
+session: a session repeats idempotent requests by itself, does not say which
+connection a request uses, and awaits between a check and the write.
+"""
+
+import asyncio
+import collections.abc
+import contextlib
+import dataclasses
+import typing
+
+from aiohttp import client_exceptions
+from aiohttp import client_proto
+from aiohttp import http_writer
+import multidict
+
+
+# Called with the loop's time; raises SendRefusedError to stop the send.
+SendCheck = collections.abc.Callable[[float], None]
+
+Body = collections.abc.AsyncIterable[bytes]
+
+_MAX_LINE_BYTES = 16_384
+_READ_BUFFER_BYTES = 65_536
+_CONTINUE = 100
+_SWITCHING_PROTOCOLS = 101
+
+
+@dataclasses.dataclass
+class Attempt:
+    """One send of a request to one target.
+
+    :param check: called in the step of the write.
+    :param written: whether any byte may have been written.
+    :param written_at: loop time of the write.
+    """
+
+    check: SendCheck
+    written: bool = False
+    written_at: float = 0.0
+
+    def confirm(self, now: float) -> None:
+        """Allow the write.
+
+        :raises SendRefusedError: if the check fails.
+        """
+        self.check(now)
+        self.written = True
+        self.written_at = now
+
+
+@dataclasses.dataclass
+class Response:
+    """A response whose head has arrived.
+
+    :param content: the body as it arrives.
+    :param has_known_end: whether a cut body can be told from a whole one.
+    """
+
+    method: str
+    status: int
+    reason: str
+    headers: multidict.CIMultiDictProxy[str]
+    content: typing.Any
+    has_known_end: bool
+
+    @property
+    def whole(self) -> bool:
+        """Whether the body was read to its end."""
+        return self.content.is_eof() and self.content.exception() is None
+
+
+@dataclasses.dataclass(frozen=True)
+class Request:
+    """What is sent to a target.
+
+    :param path: path and query, as received.
+    :param body: the body; None if there is none.
+    :param expect_continue: whether the body waits for ``100 Continue``.
+    """
+
+    method: str
+    path: str
+    headers: multidict.CIMultiDict[str]
+    body: Body | None = None
+    expect_continue: bool = False
+
+
+class HttpConnection:
+    """An open connection that carries one request at a time."""
+
+    def __init__(
+        self,
+        protocol: client_proto.ResponseHandler,
+        loop: asyncio.AbstractEventLoop,
+        opened_at: float,
+    ):
+        self.protocol = protocol
+        self.loop = loop
+        self.opened_at = opened_at
+        self.upload: asyncio.Task[None] | None = None
+        self._may_continue: asyncio.Future[None] | None = None
+
+    @classmethod
+    async def open(
+        cls, host: str, port: int, timeout_s: float
+    ) -> 'HttpConnection':
+        """Open a connection.
+
+        :param host: IP number.
+        :raises OSError: if it is refused.
+        :raises TimeoutError: if it takes longer than ``timeout_s``.
+        """
+        loop = asyncio.get_running_loop()
+        opened_at = loop.time()
+        async with asyncio.timeout(timeout_s):
+            _, protocol = await loop.create_connection(
+                lambda: client_proto.ResponseHandler(loop), host, port
+            )
+        return cls(protocol, loop, opened_at)
+
+    @property
+    def alive(self) -> bool:
+        """Whether the connection is open as far as this process knows."""
+        return self.protocol.is_connected()
+
+    @property
+    def reusable(self) -> bool:
+        """Whether the last response was read and left nothing behind."""
+        if self.upload is not None and not self.upload.done():
+            return False
+        return self.alive and not self.protocol.should_close
+
+    async def send(
+        self, request: Request, attempt: Attempt, read_timeout_s: float
+    ) -> Response:
+        """Send a request and return once the response's head has arrived.
+
+        :param read_timeout_s: seconds without a byte of the response after
+            which it fails.
+        :raises SendRefusedError: if the check of the attempt failed.
+        :raises CallerBodyError: if the request body broke off.
+        :raises ClientError: if the connection broke or the response is
+            malformed.
+        """
+        self.protocol.set_response_params(
+            skip_payload=request.method == 'HEAD',
+            read_until_eof=True,
+            auto_decompress=False,
+            read_timeout=read_timeout_s,
+            read_bufsize=_READ_BUFFER_BYTES,
+            max_line_size=_MAX_LINE_BYTES,
+            max_field_size=_MAX_LINE_BYTES,
+        )
+        writer = http_writer.StreamWriter(self.protocol, self.loop)
+        headers = request.headers
+        if request.body is not None and 'Content-Length' not in headers:
+            headers = headers.copy()
+            headers['Transfer-Encoding'] = 'chunked'
+            writer.enable_chunking()
+        if request.expect_continue:
+            headers = headers.copy()
+            headers['Expect'] = '100-continue'
+        # Only buffers the head; the write follows the check in one step.
+        await writer.write_headers(
+            f'{request.method} {request.path} HTTP/1.1', headers
+        )
+        if request.body is None:
+            attempt.confirm(self.loop.time())
+            writer.set_eof()
+            self.protocol.start_timeout()
+        else:
+            self.upload = self.loop.create_task(
+                self._upload(writer, request, attempt)
+            )
+        return await self._read_head(request.method)
+
+    def close(self) -> None:
+        """Close the connection and stop an upload that is not complete."""
+        if self.upload is not None:
+            self.upload.cancel()
+        self.protocol.close()
+
+    async def _read_head(self, method: str) -> Response:
+        while True:
+            message, content = await self.protocol.read()
+            if message.code == _CONTINUE and self._may_continue is not None:
+                if not self._may_continue.done():
+                    self._may_continue.set_result(None)
+            final = message.code >= 200
+            if final or message.code == _SWITCHING_PROTOCOLS:
+                break
+        coding = message.headers.get('Transfer-Encoding', '').lower()
+        return Response(
+            method,
+            message.code,
+            message.reason,
+            message.headers,
+            content,
+            has_known_end=(
+                'Content-Length' in message.headers
+                or 'chunked' in coding
+                or method == 'HEAD'
+                or message.code in (204, 304)
+            ),
+        )
+
+    async def _upload(
+        self,
+        writer: http_writer.StreamWriter,
+        request: Request,
+        attempt: Attempt,
+    ) -> None:
+        try:
+            if request.expect_continue:
+                self._may_continue = self.loop.create_future()
+                attempt.confirm(self.loop.time())
+                writer.send_headers()
+                await self._may_continue
+            async with contextlib.aclosing(request.body) as chunks:
+                async for chunk in chunks:
+                    if not attempt.written:
+                        attempt.confirm(self.loop.time())
+                    await writer.write(chunk)
+            if not attempt.written:
+                attempt.confirm(self.loop.time())
+            await writer.write_eof()
+            self.protocol.start_timeout()
+        except Exception as error:
+            # Wakes the reader of the response. The connection is not reused,
+            # so the target sees a body that is cut, not a shorter one.
+            self.protocol.set_exception(error)
+
+
+# What a broken connection or a malformed response raises.
+CONNECTION_ERRORS = (
+    client_exceptions.ClientError,
+    client_proto.HttpProcessingError,
+    OSError,
+)
--- a/packages/entry/src/dragonflyslip_entry/proxy.py
+++ b/packages/entry/src/dragonflyslip_entry/proxy.py
@@ -183,7 +183,7 @@
             return sent
         try:
             response = sent.exchange.response
-            if not responses.has_known_end(response):
+            if not response.has_known_end:
                 return _bad_gateway(call, 'unknown-length')
             return await responses.relay(
                 request,
@@ -193,7 +193,7 @@
                 outcome=call.refused_outcome() if sent.shed else None,
             )
         finally:
-            await self.runner.finish(call, sent)
+            self.runner.finish(call, sent)
 
     async def _send_until_answered(
         self, call: calls.Call, body: progress.CallerBody | None
@@ -223,7 +223,7 @@
                     call, grant, written, body, mark
                 ):
                     return sent
-                await self.runner.finish(call, sent)
+                self.runner.finish(call, sent)
                 continue
             except errors.SendRefusedError as error:
                 unwritten += 1
@@ -335,11 +335,11 @@
                     'the target refused the call before running it',
                     retry_after_s=1,
                 )
-            if not responses.has_known_end(sent.exchange.response):
+            if not sent.exchange.response.has_known_end:
                 return _bad_gateway(call, 'unknown-length')
             return await self._collect(request, sent, moving, body)
         finally:
-            await self.runner.finish(call, sent)
+            self.runner.finish(call, sent)
 
     async def _send_once(
         self,
--- a/packages/entry/src/dragonflyslip_entry/responses.py
+++ b/packages/entry/src/dragonflyslip_entry/responses.py
@@ -2,16 +2,14 @@
 
 import json
 
-import aiohttp
 from aiohttp import web
 
 from dragonflyslip_core import answers
 from dragonflyslip_core import outcomes
 from dragonflyslip_entry import headers
+from dragonflyslip_entry import http_connection
 from dragonflyslip_entry import progress as progress_module
 
-_NO_BODY_STATUSES = frozenset({204, 304})
-
 
 def refuse(refusal: outcomes.Refusal, close: bool) -> web.Response:
     """Return the response for a refusal.
@@ -32,22 +30,9 @@
     return response
 
 
-def has_known_end(response: aiohttp.ClientResponse) -> bool:
-    """Return whether a truncation of the response can be told from its end.
-
-    A body that ends with the connection looks complete when it is cut.
-    """
-    return (
-        'Content-Length' in response.headers
-        or 'chunked' in response.headers.get('Transfer-Encoding', '').lower()
-        or response.method == 'HEAD'
-        or response.status in _NO_BODY_STATUSES
-    )
-
-
 async def relay(
     request: web.BaseRequest,
-    response: aiohttp.ClientResponse,
+    response: http_connection.Response,
     progress: progress_module.Progress,
     close: bool,
     head: bytes = b'',
--- a/packages/entry/src/dragonflyslip_entry/target_controller.py
+++ b/packages/entry/src/dragonflyslip_entry/target_controller.py
@@ -55,7 +55,7 @@
         match await self.instances.list_instances():
             case result.Success(rows):
                 self._take_entries(rows)
-                await self._take_targets(rows)
+                self._take_targets(rows)
                 self.listed.set()
             case _:
                 self.board.count('instance_list_errors')
@@ -86,9 +86,7 @@
             }
         )
 
-    async def _take_targets(
-        self, rows: tuple[platform.ListedInstance, ...]
-    ) -> None:
+    def _take_targets(self, rows: tuple[platform.ListedInstance, ...]) -> None:
         seen = {
             row.instance_id: row.to_target()
             for row in rows
@@ -101,7 +99,7 @@
                 new.port,
                 new.service,
             ):
-                await self._remove(old)
+                self._remove(old)
         self._targets = seen
         for target in seen.values():
             self._track(target)
@@ -119,13 +117,13 @@
             target, warmup.WarmupRules.from_profile(profile)
         )
 
-    async def _remove(self, target: targets.Target) -> None:
+    def _remove(self, target: targets.Target) -> None:
         target_id = target.instance_id
         self.warmups.remove_target(target_id)
         self.board.targets.pop(target_id, None)
         self.services.forget(target.service, target_id)
         self.pools.forget(target_id)
-        await self.watching.forget(target_id)
+        self.watching.forget(target_id)
 
     def _index(self) -> None:
         by_service: dict[str, list[targets.TargetState]] = {}
