Spare work on the path of a call that needs none of it

Cause: a profile at 300 calls a second showed digests for crash marks that do not exist, load headers parsed again and again, one change of a timer for each chunk, and warm-up states published without a change.

Change: the fingerprint of a call without a body is worked out when a mark or a loss asks for it; parsed load headers are kept; the timer moves at 0.1 s steps; warm targets publish nothing. Failures tell upper layers with Dragonflyslip-Retry not to repeat what was repeated or denied here.

Ruled out: skipping the in-step checks, which cost 9 us a call.

--- a/packages/core/src/dragonflyslip_core/suspects.py
+++ b/packages/core/src/dragonflyslip_core/suspects.py
@@ -252,6 +252,10 @@
         turn = itertools.islice(itertools.cycle(crashes), start, start + count)
         return tuple(_mark(crash, now) for crash in turn)
 
+    def any_marks(self) -> bool:
+        """Return whether any request is marked, which is seldom so."""
+        return bool(self._by_fingerprint)
+
     def is_suspect(self, fingerprint: str, now: float) -> bool:
         """Return whether a request with this fingerprint is refused."""
         return self._suspect(fingerprint, now) is not None
--- a/packages/core/src/dragonflyslip_core/targets.py
+++ b/packages/core/src/dragonflyslip_core/targets.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import enum
+import functools
 import re
 
 from returns import result
@@ -60,6 +61,8 @@
     latency_ms: float | None = None
 
 
+# Responses of one target often carry the same text.
+@functools.lru_cache(maxsize=4096)
 def parse_load_header(
     text: str,
 ) -> result.Result[LoadReport, errors.HeaderError]:
--- a/packages/core/src/dragonflyslip_core/warmup.py
+++ b/packages/core/src/dragonflyslip_core/warmup.py
@@ -280,6 +280,7 @@
             if not self._holds(target_id, record, agreement, now):
                 return _refuse(target_id, 'is cold', 'cold')
             self._advance(target_id, record, now)
+            self._publish(target_id)
         if not record.warm:
             limit = record.rules.limit(record.step)
             if record.in_flight + record.unseen >= limit:
@@ -287,7 +288,6 @@
             if record.step_started_at is None:
                 record.step_started_at = now
         record.in_flight += 1
-        self._publish(target_id)
         return result.Success(
             Permit(target_id, str(record.boot_id), record.epoch)
         )
@@ -316,7 +316,7 @@
             record.step_good += 1
         if not record.warm:
             self._advance(permit.target_id, record, now)
-        self._publish(permit.target_id)
+            self._publish(permit.target_id)
 
     def refresh(self, now: float) -> None:
         """Publish all warm limits; call this every ``MAX_GAP_S / 2``."""
--- a/packages/entry/src/dragonflyslip_entry/attempts.py
+++ b/packages/entry/src/dragonflyslip_entry/attempts.py
@@ -140,8 +140,10 @@
                 sent.report,
             ),
         )
-        if complete and call.fingerprint:
-            self.board.suspects.completed(call.fingerprint, self.loop.time())
+        if complete and self.board.suspects.any_marks():
+            self.board.suspects.completed(
+                call.crash_fingerprint(), self.loop.time()
+            )
 
     async def send_hedged(
         self, call: calls.Call, grant: dispatcher.Grant, excluded: set[str]
@@ -250,7 +252,7 @@
             mark = self.board.suspects.connection_lost(
                 grant.target,
                 boot_id,
-                call.fingerprint or None,
+                call.crash_fingerprint(),
                 float(call.profile.suspicion_ttl_s),
                 now,
             )
--- a/packages/entry/src/dragonflyslip_entry/calls.py
+++ b/packages/entry/src/dragonflyslip_entry/calls.py
@@ -26,10 +26,13 @@
     :param first_attempt: whether the caller marked it as its first attempt.
     :param retried: whether an entry on the way has repeated it.
     :param has_body: whether a body follows the headers.
-    :param fingerprint: identifies the request among crash marks.
+    :param fingerprint: identifies the request among crash marks; empty
+        until it is needed or its body has passed.
     :param written: whether an attempt has been written to a target that has
         not said that it did not run it.
     :param lost: whether such an attempt ended without a response.
+    :param marks_response: whether a failure tells the layers above not to
+        repeat the call.
     """
 
     service: str
@@ -50,6 +53,7 @@
     fingerprint: str = ''
     written: bool = False
     lost: bool = False
+    marks_response: bool = False
 
     @classmethod
     def from_request(
@@ -97,6 +101,12 @@
             self.service, self.method, path, query, self.content_length
         )
 
+    def crash_fingerprint(self) -> str:
+        """Return the fingerprint, worked out now if it has not been."""
+        if not self.fingerprint:
+            self.fingerprint = self.stream_fingerprint().value()
+        return self.fingerprint
+
     def refused_outcome(self) -> outcomes.Outcome:
         """Return the outcome to tell while this call holds no claim."""
         if self.written:
--- a/packages/entry/src/dragonflyslip_entry/dispatcher.py
+++ b/packages/entry/src/dragonflyslip_entry/dispatcher.py
@@ -184,7 +184,10 @@
             raise errors.SendRefusedError(
                 'target-withdrawn', 'target may no longer receive work'
             )
-        if self.board.suspects.is_suspect(call.fingerprint, now):
+        known = self.board.suspects
+        if known.any_marks() and known.is_suspect(
+            call.crash_fingerprint(), now
+        ):
             raise errors.SendRefusedError(
                 'suspect-request', 'instances that ran it have crashed'
             )
--- a/packages/entry/src/dragonflyslip_entry/progress.py
+++ b/packages/entry/src/dragonflyslip_entry/progress.py
@@ -8,6 +8,8 @@
 from dragonflyslip_core import suspects
 from dragonflyslip_entry import errors
 
+# Progress is noted at this interval at most.
+_STEP_S = 0.1
 _CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 
 
@@ -35,13 +37,23 @@
         self.timer = timer
         self.budget_s = budget_s
         self.progress_s = progress_s
+        self.moved_at = loop.time()
 
     def moved(self, now: float) -> None:
         """Note that bytes of a body moved at ``now`` (loop time)."""
-        self._reschedule(now + self.progress_s)
+        # Most bodies end before this, and need no change of the timer.
+        if now - self.moved_at >= _STEP_S:
+            self.moved_at = now
+            self._reschedule(now + _STEP_S + self.progress_s)
+
+    def body_started(self, now: float) -> None:
+        """Note that a body is on its way, so that the deadline is off."""
+        self.moved_at = now
+        self._reschedule(now + _STEP_S + self.progress_s)
 
     def body_sent(self, now: float) -> None:
         """Note that the request body is complete."""
+        self.moved_at = now
         self._reschedule(now + self.budget_s)
 
     def _reschedule(self, when: float) -> None:
@@ -80,6 +92,7 @@
 
         :raises CallerBodyError: if the caller broke off.
         """
+        self.progress.body_started(self.loop.time())
         while not fingerprint.complete:
             chunk = await self._read()
             if not chunk:
@@ -95,7 +108,7 @@
         self.started = True
         if self.expects_continue and self.request.transport is not None:
             self.request.transport.write(_CONTINUE)
-        self.progress.moved(self.loop.time())
+        self.progress.body_started(self.loop.time())
         head, self.head = self.head, []
         for chunk in head:
             yield chunk
--- a/packages/entry/src/dragonflyslip_entry/proxy.py
+++ b/packages/entry/src/dragonflyslip_entry/proxy.py
@@ -93,7 +93,7 @@
                 400, call.refused_outcome(), 'bad-body', error.message
             )
         if isinstance(answer, outcomes.Refusal):
-            return self._refuse(request, answer)
+            return self._refuse(request, answer, call.marks_response)
         self.measures.observe(
             call.service, answer.status, self.loop.time() - now
         )
@@ -165,17 +165,15 @@
         moving: progress.Progress,
     ) -> web.StreamResponse | outcomes.Refusal:
         body = None
-        fingerprint = call.stream_fingerprint()
         if call.has_body:
             body = progress.CallerBody(request, moving, call.expects_continue)
             # A caller that waits for 100 Continue sends nothing yet; its
             # request is not checked against earlier crashes.
             if not call.expects_continue:
+                fingerprint = call.stream_fingerprint()
                 await body.read_head(fingerprint)
-        call.fingerprint = fingerprint.value()
-        suspect = self.board.suspects.refusal(
-            call.fingerprint, call.refused_outcome(), self.loop.time()
-        )
+                call.fingerprint = fingerprint.value()
+        suspect = self._suspicion(call)
         if suspect is not None:
             return suspect
         sent = await self._send_until_answered(call, body)
@@ -195,6 +193,15 @@
         finally:
             self.runner.finish(call, sent)
 
+    def _suspicion(self, call: calls.Call) -> outcomes.Refusal | None:
+        if not self.board.suspects.any_marks():
+            return None
+        return self.board.suspects.refusal(
+            call.crash_fingerprint(),
+            call.refused_outcome(),
+            self.loop.time(),
+        )
+
     async def _send_until_answered(
         self, call: calls.Call, body: progress.CallerBody | None
     ) -> attempts.Sent | outcomes.Refusal:
@@ -262,6 +269,7 @@
         )
         if isinstance(decision, retries.NoRepeat):
             self.board.count(f'retries_denied_{decision.reason.name.lower()}')
+            call.marks_response |= decision.marks_response
             return False
         self.board.count('retries')
         await asyncio.sleep(max(0.0, decision.at - self.loop.time()))
@@ -416,10 +424,18 @@
         return self.draining or not request.content.at_eof()
 
     def _refuse(
-        self, request: web.BaseRequest, refusal: outcomes.Refusal
+        self,
+        request: web.BaseRequest,
+        refusal: outcomes.Refusal,
+        marked: bool = False,
     ) -> web.StreamResponse:
         self.measures.count_refusal(refusal.kind, refusal.outcome.value)
-        return responses.refuse(refusal, self.draining or request.body_exists)
+        response = responses.refuse(
+            refusal, self.draining or request.body_exists
+        )
+        if marked:
+            response.headers[retries.RETRY_HEADER] = retries.RETRY_VALUE
+        return response
 
 
 def _target_of(request: web.BaseRequest) -> tuple[str | None, str]:
--- a/packages/entry/src/dragonflyslip_entry/responses.py
+++ b/packages/entry/src/dragonflyslip_entry/responses.py
@@ -61,6 +61,8 @@
         await relayed.prepare(request)
         if head:
             await relayed.write(head)
+        if not response.content.is_eof():
+            progress.body_started(loop.time())
         async for chunk in response.content.iter_any():
             progress.moved(loop.time())
             await relayed.write(chunk)
