--- a/bench/processes.py
+++ b/bench/processes.py
@@ -47,8 +47,12 @@
         self.admin_ports: dict[str, int] = {}
 
     def __enter__(self) -> 'Processes':
-        self.log_port = self.stand_in('log')
-        self.list_port = self.stand_in('instances')
+        try:
+            self.log_port = self.stand_in('log')
+            self.list_port = self.stand_in('instances')
+        except BaseException:
+            self.__exit__()
+            raise
         return self
 
     def __exit__(self, *exception) -> None:
--- a/packages/testing/src/dragonflyslip_testing/__main__.py
+++ b/packages/testing/src/dragonflyslip_testing/__main__.py
@@ -2,12 +2,14 @@
 
 import argparse
 import asyncio
+import signal
 
 from aiohttp import web
 import uvloop
 
 from dragonflyslip_testing import memory_instances
 from dragonflyslip_testing import memory_log
+from dragonflyslip_testing import relay
 from dragonflyslip_testing import target
 
 
@@ -32,22 +34,40 @@
 
 
 async def _serve(arguments: argparse.Namespace) -> None:
+    if arguments.kind == 'relay':
+        await _serve_relay(arguments)
+        return
     runner = web.AppRunner(_application(arguments), access_log=None)
     await runner.setup()
     await web.TCPSite(runner, '127.0.0.1', arguments.port).start()
     await asyncio.Event().wait()
 
 
+async def _serve_relay(arguments: argparse.Namespace) -> None:
+    relaying = relay.Relay(arguments.target_port)
+    # SIGUSR1 silences the connections that are open.
+    asyncio.get_running_loop().add_signal_handler(
+        signal.SIGUSR1, relaying.silence
+    )
+    async with await relaying.listen(arguments.port) as server:
+        await server.serve_forever()
+
+
 def main() -> None:
     """Serve until killed."""
     parser = argparse.ArgumentParser(prog='dragonflyslip_testing')
-    parser.add_argument('kind', choices=['log', 'instances', 'target'])
+    parser.add_argument(
+        'kind', choices=['log', 'instances', 'target', 'relay']
+    )
     parser.add_argument('--port', type=int, required=True)
     parser.add_argument('--name', default='target')
     parser.add_argument('--slots', type=int, default=6)
     parser.add_argument('--service-s', type=float, default=0.0)
     parser.add_argument('--cold-s', type=float, default=0.0)
     parser.add_argument('--cold-limit', type=int, default=0)
+    parser.add_argument(
+        '--target-port', type=int, default=0, help='port that a relay serves'
+    )
     uvloop.run(_serve(parser.parse_args()))
 
 
