Pass calls on to the entry that warms up a cold service

Cause: a cold target takes work from one entry. While all targets of a service are cold, entries that hold none refused every call, and a holder without callers never warmed its target up.

Change: such an entry passes the call on, once, to the caller port of a peer that holds a target; the peer's answer and outcome are relayed. The proxy is split into plain calls, claimed calls and refusals. A keyed call whose body broke off before the write now gives its claim up.

Ruled out: letting probes count as load, which would declare a target warm that has run nothing; lending slots by peer messages, which needs a reply before each call.

Before: test_callers_of_one_entry_are_served_while_all_is_cold got 503 at the entry that holds no target. After: 200 at both, keyed calls included, and 64 tests of entry and wire pass.

--- a/Makefile
+++ b/Makefile
@@ -17,7 +17,7 @@
 	touch $(STAMP)
 
 test: $(STAMP)
-	$(BIN)/python tests/run_suite.py
+	$(BIN)/python tests/run_suite.py -n 4
 
 check: $(STAMP)
 	$(BIN)/ruff format --no-cache --check $(SOURCES)
--- /dev/null
+++ b/bench/__main__.py
@@ -0,0 +1,18 @@
+"""Run all benchmarks, one after the other."""
+
+import importlib
+
+_NAMES = (
+    'routing',
+    'fleet',
+    'overload',
+    'hedging',
+    'crashes',
+    'claims',
+    'load',
+)
+
+if __name__ == '__main__':
+    for name in _NAMES:
+        print(f'\n# python -m bench.{name}\n', flush=True)
+        importlib.import_module(f'bench.{name}').main()
--- a/packages/entry/src/dragonflyslip_entry/calls.py
+++ b/packages/entry/src/dragonflyslip_entry/calls.py
@@ -25,6 +25,7 @@
     :param key: value of ``Idempotency-Key``, if any.
     :param first_attempt: whether the caller marked it as its first attempt.
     :param retried: whether an entry on the way has repeated it.
+    :param passed_on: whether another entry has passed the call on.
     :param has_body: whether a body follows the headers.
     :param fingerprint: identifies the request among crash marks; empty
         until it is needed or its body has passed.
@@ -47,6 +48,7 @@
     key: str | None
     first_attempt: bool
     retried: bool
+    passed_on: bool
     has_body: bool
     expects_continue: bool
     content_length: int | None
@@ -88,6 +90,7 @@
             key=received.get(headers.KEY_HEADER) if at_most_once else None,
             first_attempt=received.get(headers.ATTEMPT_HEADER) == '1',
             retried=headers.RETRY_HEADER in received,
+            passed_on=headers.ENTRY_HEADER in received,
             has_body=request.body_exists,
             expects_continue=received.get('Expect', '').lower()
             == '100-continue',
--- /dev/null
+++ b/packages/entry/src/dragonflyslip_entry/claimed_calls.py
@@ -0,0 +1,159 @@
+"""Sends calls whose claim is held, once."""
+
+import asyncio
+
+from aiohttp import web
+from returns import result
+
+from dragonflyslip_core import answers
+from dragonflyslip_core import claims
+from dragonflyslip_core import outcomes
+from dragonflyslip_entry import attempts
+from dragonflyslip_entry import calls
+from dragonflyslip_entry import claim_controller
+from dragonflyslip_entry import dispatcher
+from dragonflyslip_entry import errors
+from dragonflyslip_entry import headers
+from dragonflyslip_entry import keyed_calls
+from dragonflyslip_entry import plain_calls
+from dragonflyslip_entry import progress
+from dragonflyslip_entry import refusals
+from dragonflyslip_entry import responses
+
+
+class ClaimedCalls:
+    """Runs keyed calls for :class:`keyed_calls.KeyedCalls`."""
+
+    def __init__(
+        self,
+        granting: dispatcher.Dispatcher,
+        runner: attempts.AttemptRunner,
+        claiming: claim_controller.ClaimController,
+    ):
+        self.granting = granting
+        self.runner = runner
+        self.claiming = claiming
+        self.loop = asyncio.get_running_loop()
+
+    async def run(
+        self,
+        request: web.BaseRequest,
+        call: calls.Call,
+        claim: claims.CallClaim,
+    ) -> keyed_calls.Ran:
+        """Send a call whose claim is held.
+
+        :return: the response if it is short enough to be kept, a refusal,
+            or None if the response was relayed to the caller.
+        """
+        call.fingerprint = keyed_calls.crash_fingerprint(call)
+        try:
+            async with asyncio.timeout_at(call.deadline_at) as timer:
+                return await self._send_claimed(
+                    request,
+                    call,
+                    claim,
+                    progress.Progress.of_call(call, timer, self.loop),
+                )
+        except TimeoutError:
+            return refusals.timeout(self._give_up(claim))
+        except errors.CallerBodyError as error:
+            return outcomes.Refusal(
+                400, self._give_up(claim), 'bad-body', error.message
+            )
+
+    async def _send_claimed(
+        self,
+        request: web.BaseRequest,
+        call: calls.Call,
+        claim: claims.CallClaim,
+        moving: progress.Progress,
+    ) -> keyed_calls.Ran:
+        body = None
+        if call.has_body:
+            body = progress.CallerBody(request, moving, call.expects_continue)
+        sent = await self._send_once(call, claim, body)
+        if isinstance(sent, outcomes.Refusal):
+            return sent
+        try:
+            if sent.shed:
+                return outcomes.Refusal(
+                    503,
+                    self._release(claim),
+                    'target-shed',
+                    'the target refused the call before running it',
+                    retry_after_s=1,
+                )
+            if not sent.exchange.response.has_known_end:
+                return refusals.bad_gateway(call, 'unknown-length')
+            return await self._collect(request, sent, moving, body)
+        finally:
+            self.runner.finish(call, sent)
+
+    async def _send_once(
+        self,
+        call: calls.Call,
+        claim: claims.CallClaim,
+        body: progress.CallerBody | None,
+    ) -> attempts.Sent | outcomes.Refusal:
+        excluded: set[str] = set()
+        while True:
+            granted = await self.granting.acquire(call, excluded)
+            if isinstance(granted, result.Failure):
+                refusal = granted.failure()
+                return refusals.with_outcome(refusal, self._give_up(claim))
+            grant = granted.unwrap()
+            excluded.add(grant.target.instance_id)
+            try:
+                return await self.runner.send(
+                    call, grant, body, extra_check=claim.begin_send
+                )
+            except errors.SendRefusedError as error:
+                if len(excluded) >= plain_calls.MAX_UNWRITTEN or (
+                    error.kind == 'suspect-request'
+                ):
+                    refusal = refusals.not_sent(call, error)
+                    return refusals.with_outcome(refusal, self._give_up(claim))
+            except errors.TargetError as error:
+                retriable = not error.written and not (body and body.started)
+                if not retriable or len(excluded) >= plain_calls.MAX_UNWRITTEN:
+                    refusal = refusals.bad_gateway(call, error.kind)
+                    return refusals.with_outcome(refusal, self._give_up(claim))
+
+    async def _collect(
+        self,
+        request: web.BaseRequest,
+        sent: attempts.Sent,
+        moving: progress.Progress,
+        body: progress.CallerBody | None,
+    ) -> keyed_calls.Ran:
+        """Read a response that is short enough to be kept, else relay it."""
+        response = sent.exchange.response
+        head = b''
+        try:
+            async for chunk in response.content.iter_any():
+                moving.moved(self.loop.time())
+                head += chunk
+                if len(head) > answers.MAX_BODY_BYTES:
+                    await responses.relay(
+                        request, response, moving, True, head
+                    )
+                    return None
+        except Exception:
+            return outcomes.Refusal(
+                502,
+                outcomes.Outcome.UNKNOWN,
+                'target-disconnected',
+                'the response of the target broke off',
+            )
+        kept = headers.forwarded_response_headers(response.headers)
+        return answers.Answer(response.status, tuple(kept.items()), head)
+
+    def _give_up(self, claim: claims.CallClaim) -> outcomes.Outcome:
+        if claim.state is claims.ClaimState.HELD:
+            return self._release(claim)
+        return outcomes.Outcome.UNKNOWN
+
+    def _release(self, claim: claims.CallClaim) -> outcomes.Outcome:
+        self.claiming.release(claim)
+        return outcomes.Outcome.NOT_RUN
--- a/packages/entry/src/dragonflyslip_entry/daemon.py
+++ b/packages/entry/src/dragonflyslip_entry/daemon.py
@@ -22,14 +22,17 @@
 from dragonflyslip_entry import attempts
 from dragonflyslip_entry import caller_server
 from dragonflyslip_entry import claim_controller
+from dragonflyslip_entry import claimed_calls
 from dragonflyslip_entry import config_controller
 from dragonflyslip_entry import connections
 from dragonflyslip_entry import dispatcher
+from dragonflyslip_entry import entry_relay
 from dragonflyslip_entry import fleet_controller
 from dragonflyslip_entry import keyed_calls
 from dragonflyslip_entry import logs
 from dragonflyslip_entry import metrics
 from dragonflyslip_entry import peer_controller
+from dragonflyslip_entry import plain_calls
 from dragonflyslip_entry import probe_controller
 from dragonflyslip_entry import proxy
 from dragonflyslip_entry import service_control
@@ -94,6 +97,7 @@
     def _make_parts(self) -> None:
         board, options = self.board, self.options
         self.pools = connections.ConnectionTable()
+        self.peer_pools = connections.ConnectionTable(share=1.0)
         self.watching = watches.WatchTable()
         self.warmups = warmup.WarmupController(board)
         self.services = service_control.ServiceTable(
@@ -112,6 +116,7 @@
             self.warmups,
             self.stored,
             options.failure_domain,
+            settings.split_endpoint(options.listen)[1],
             self.config.adopt_snapshot,
         )
         self.claiming = claim_controller.ClaimController(
@@ -154,18 +159,26 @@
             self.fleet.may_serve,
             self.rng,
         )
+        runner = attempts.AttemptRunner(
+            board, self.dispatcher, self.pools, self.probing, self.peers
+        )
         self.proxy = proxy.Proxy(
             board,
             self.dispatcher,
-            attempts.AttemptRunner(
-                board, self.dispatcher, self.pools, self.probing, self.peers
-            ),
+            plain_calls.PlainCalls(board, self.dispatcher, runner, self.rng),
+            claimed_calls.ClaimedCalls(self.dispatcher, runner, self.claiming),
             keyed_calls.KeyedCalls(
                 self.claiming, self.stored, self.peers, self.clock
             ),
+            entry_relay.EntryRelay(
+                board,
+                self.dispatcher,
+                self.peers,
+                self.peer_pools,
+                self.rng,
+            ),
             self.measures,
             self.clock,
-            self.rng,
         )
         self.server = caller_server.CallerServer(self.proxy.handle)
         self.proxy.busy = self.server.busy
@@ -269,6 +282,7 @@
             self.probing.run(),
             self.dispatcher.run(),
             self.pools.run(),
+            self.peer_pools.run(),
         ):
             self._start(controller)
 
@@ -282,7 +296,6 @@
         # The balancer in front needs time to see that readiness is false;
         # until then callers are still served.
         await asyncio.wait([stop_now], timeout=self.options.drain_delay_s)
-        self.proxy.draining = True
         self.board.membership.draining = True
         listener.close()
         self.server.close_idle()
@@ -302,6 +315,7 @@
         await self.peers.links.close()
         self.watching.close()
         self.pools.close()
+        self.peer_pools.close()
         await self.session.close()
 
     async def _listen_callers(self) -> asyncio.Server:
--- a/packages/entry/src/dragonflyslip_entry/dispatcher.py
+++ b/packages/entry/src/dragonflyslip_entry/dispatcher.py
@@ -17,6 +17,7 @@
 from dragonflyslip_core import warmup
 from dragonflyslip_entry import calls
 from dragonflyslip_entry import errors
+from dragonflyslip_entry import refusals
 from dragonflyslip_entry import service_control
 from dragonflyslip_entry import watches
 
@@ -121,7 +122,7 @@
         now = self.loop.time()
         control = self.services.of(call.service)
         if control is None:
-            return result.Failure(_no_target(call, 'unknown-service'))
+            return result.Failure(refusals.no_target(call, 'unknown-service'))
         if not len(control.queue):
             granted = self.try_grant(control, call, excluded, now)
             if granted is not None:
@@ -140,10 +141,12 @@
         :return: None if the call may wait for one.
         """
         if not self.may_serve(now):
-            return result.Failure(_isolated(call))
+            return result.Failure(refusals.isolated(call))
         candidates = self._candidates(control, now)
         if candidates.refusal_kind is not None:
-            return result.Failure(_no_target(call, candidates.refusal_kind))
+            return result.Failure(
+                refusals.no_target(call, candidates.refusal_kind)
+            )
         usable = [
             state
             for state in candidates.states
@@ -160,7 +163,16 @@
             case result.Success(target):
                 return result.Success(self._grant(control, target, now))
             case result.Failure(error):
-                return result.Failure(_no_target(call, error.kind))
+                return result.Failure(refusals.no_target(call, error.kind))
+
+    def only_cold(
+        self, control: service_control.ServiceControl, now: float
+    ) -> list[targets.TargetState]:
+        """Return the cold targets that peers hold, if there are no others."""
+        states = self._candidates(control, now).states
+        if any(s.suspected or s.warm_limit != 0 for s in states):
+            return []
+        return states
 
     def check(self, call: calls.Call, grant: Grant, now: float) -> None:
         """Check in the step of the write that the call may be sent.
@@ -269,7 +281,7 @@
         )
         if hopeful:
             return None
-        return result.Failure(_no_target(call, 'no-target'))
+        return result.Failure(refusals.no_target(call, 'no-target'))
 
     def _grant(
         self,
@@ -370,25 +382,7 @@
         )
         if granted is None:
             # The free targets are ones that this call must avoid.
-            granted = result.Failure(_no_target(waiter.call, 'no-target'))
+            granted = result.Failure(
+                refusals.no_target(waiter.call, 'no-target')
+            )
         waiter.future.set_result(granted)
-
-
-def _no_target(call: calls.Call, kind: str) -> outcomes.Refusal:
-    return outcomes.Refusal(
-        503,
-        call.refused_outcome(),
-        kind,
-        f'no target of {call.service} can take the call',
-        retry_after_s=1,
-    )
-
-
-def _isolated(call: calls.Call) -> outcomes.Refusal:
-    return outcomes.Refusal(
-        503,
-        call.refused_outcome(),
-        'isolated',
-        'this entry cannot learn of changes of configuration',
-        retry_after_s=1,
-    )
--- a/packages/entry/src/dragonflyslip_entry/headers.py
+++ b/packages/entry/src/dragonflyslip_entry/headers.py
@@ -11,6 +11,7 @@
 ATTEMPT_HEADER = 'Dragonflyslip-Attempt'
 DEADLINE_HEADER = 'Dragonflyslip-Deadline'
 RETRY_HEADER = 'Dragonflyslip-Retry'
+ENTRY_HEADER = 'Dragonflyslip-Entry'
 REPLAYED_HEADER = 'Dragonflyslip-Replayed'
 VIA = '1.1 dragonflyslip'
 
@@ -30,7 +31,12 @@
 
 # Set anew by every entry, or meant for the entry alone.
 _CONSUMED_REQUEST = frozenset(
-    {'expect', DEADLINE_HEADER.lower(), RETRY_HEADER.lower()}
+    {
+        'expect',
+        DEADLINE_HEADER.lower(),
+        ENTRY_HEADER.lower(),
+        RETRY_HEADER.lower(),
+    }
 )
 _CONSUMED_RESPONSE = frozenset(
     {targets.LOAD_HEADER.lower(), outcomes.OUTCOME_HEADER.lower()}
--- a/packages/entry/src/dragonflyslip_entry/peer_controller.py
+++ b/packages/entry/src/dragonflyslip_entry/peer_controller.py
@@ -10,6 +10,7 @@
 from dragonflyslip_core import checkpoints
 from dragonflyslip_core import membership
 from dragonflyslip_core import suspects
+from dragonflyslip_core import targets
 from dragonflyslip_core import warmup
 from dragonflyslip_entry import logs
 from dragonflyslip_entry import peer_links
@@ -34,7 +35,7 @@
 class PeerController:
     """Exchanges state with the other entries.
 
-    :param links: the connections; their ``on_message`` is :meth:`handle`.
+    :param caller_port: port on which this entry serves callers.
     :param adopt_snapshot: takes over a peer's configuration.
     """
 
@@ -44,6 +45,7 @@
         warmups: warmup.WarmupController,
         stored: answers.AnswerStore,
         failure_domain: str,
+        caller_port: int,
         adopt_snapshot: AdoptSnapshot,
     ):
         self.board = board
@@ -52,7 +54,7 @@
         self.adopt_snapshot = adopt_snapshot
         self.links = peer_links.PeerLinks(
             board,
-            wire.Hello(board.membership.own, failure_domain),
+            wire.Hello(board.membership.own, failure_domain, caller_port),
             self.handle,
         )
         self.loop = asyncio.get_running_loop()
@@ -61,6 +63,7 @@
         self._queries: dict[str, asyncio.Future[wire.Answer]] = {}
         self._parts: dict[tuple[str, int], dict[int, bytes]] = {}
         self._pulled_at = float('-inf')
+        self._caller_ports: dict[str, int] = {}
 
     async def run(self) -> None:
         """Send heartbeats for ever."""
@@ -146,11 +149,20 @@
         finally:
             self._queries.pop(text, None)
 
+    def caller_endpoint(self, name: str) -> targets.Target | None:
+        """Return where a peer serves callers, None if that is not known."""
+        endpoint = self.links.endpoints.get(name)
+        port = self._caller_ports.get(name)
+        if endpoint is None or not port:
+            return None
+        return targets.Target(name, '', endpoint[0], port, '')
+
     def handle(self, link: peer_links.PeerLink, message) -> None:
         """Handle one message of a peer."""
         match message:
             case wire.Hello():
                 link.peer = message.sender
+                self._caller_ports[message.sender.name] = message.caller_port
                 self._greet(message)
             case wire.Heartbeat():
                 self._take_heartbeat(link, message)
--- a/packages/entry/src/dragonflyslip_entry/progress.py
+++ b/packages/entry/src/dragonflyslip_entry/progress.py
@@ -6,6 +6,7 @@
 from aiohttp import web
 
 from dragonflyslip_core import suspects
+from dragonflyslip_entry import calls
 from dragonflyslip_entry import errors
 
 # Progress is noted at this interval at most.
@@ -39,6 +40,21 @@
         self.progress_s = progress_s
         self.moved_at = loop.time()
 
+    @classmethod
+    def of_call(
+        cls,
+        call: calls.Call,
+        timer: asyncio.Timeout,
+        loop: asyncio.AbstractEventLoop,
+    ) -> 'Progress':
+        """Return the progress of a call that ``timer`` bounds."""
+        return cls(
+            timer,
+            call.deadline_at - call.arrived_at,
+            call.profile.progress_timeout_ms / 1000,
+            loop,
+        )
+
     def moved(self, now: float) -> None:
         """Note that bytes of a body moved at ``now`` (loop time)."""
         # Most bodies end before this, and need no change of the timer.
--- a/packages/entry/tests/test_faults.py
+++ b/packages/entry/tests/test_faults.py
@@ -120,6 +120,37 @@
         assert not load.wrong
 
 
+class TestColdService:
+    async def test_callers_of_one_entry_are_served_while_all_is_cold(
+        self, path
+    ):
+        await path.publish_service('casebook', warmup_s=2.0)
+        await path.add_target('casebook-1')
+        urls = [await path.add_entry(f'entry-{n}') for n in (1, 2)]
+        await _until(
+            lambda: all(
+                running.ready() and running.fleet.agreed
+                for running in path.entries.values()
+            )
+        )
+        await asyncio.sleep(1.0)
+        for url in urls:
+            await _until(
+                lambda: any(
+                    state.warm_limit != 0
+                    for running in path.entries.values()
+                    for state in running.board.targets.values()
+                )
+            )
+            status, _, body = await path.call(url, 'GET', '/cold')
+            assert (status, body) == (200, b'casebook-1 GET /cold\n')
+            key = path.new_key()
+            status, _, _ = await path.call(
+                url, 'POST', '/pay', headers={'Idempotency-Key': key}
+            )
+            assert (status, len(path.runs(key))) == (200, 1)
+
+
 class TestCrashingRequest:
     async def test_it_reaches_at_most_two_targets(self, path):
         urls = await path.fleet(2, 5, max_attempts=1)
--- a/packages/wire/src/dragonflyslip_wire/messages.py
+++ b/packages/wire/src/dragonflyslip_wire/messages.py
@@ -44,10 +44,14 @@
 
 @dataclasses.dataclass(frozen=True)
 class Hello:
-    """First message on a connection."""
+    """First message on a connection.
+
+    :param caller_port: where the sender serves callers; 0 if nowhere.
+    """
 
     sender: membership.EntryId
     failure_domain: str = ''
+    caller_port: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -337,12 +341,14 @@
 def _write_hello(builder, message: Hello) -> None:
     _write_entry_id(builder.init('sender'), message.sender)
     builder.failureDomain = _text(message.failure_domain, 'failure domain')
+    builder.callerPort = message.caller_port
 
 
 def _read_hello(reader) -> Hello:
     return Hello(
         sender=_read_entry_id(reader.sender),
         failure_domain=_text(reader.failureDomain, 'failure domain'),
+        caller_port=reader.callerPort,
     )
 
 
--- a/packages/wire/src/dragonflyslip_wire/peer.capnp
+++ b/packages/wire/src/dragonflyslip_wire/peer.capnp
@@ -26,6 +26,8 @@
 struct Hello {
   sender @0 :EntryId;
   failureDomain @1 :Text;
+  # Where the sender serves callers, at the address of its peer port.
+  callerPort @2 :UInt16;
 }
 
 struct Heartbeat {
--- a/packages/wire/tests/test_frames.py
+++ b/packages/wire/tests/test_frames.py
@@ -42,7 +42,7 @@
     lambda data: data.decode('utf-8', 'surrogateescape')
 )
 any_message = strategies.one_of(
-    strategies.builds(wire.Hello, entry_ids, names),
+    strategies.builds(wire.Hello, entry_ids, names, uint16),
     strategies.builds(
         wire.Heartbeat,
         strategies.builds(
