Test the last step before a write, retry marks and garbled input

Cause: no test failed when the checks in the step of the write were removed, when a repeated call lost its mark, when a call lost at its target was told not-run, or when a response without a marked end was relayed. Ruled out: covering these in core, since the code is in the entry. Before: no tests of these.

--- a/packages/entry/tests/test_faults.py
+++ b/packages/entry/tests/test_faults.py
@@ -9,6 +9,7 @@
 from dragonflyslip_core import config
 from dragonflyslip_core import models
 from dragonflyslip_core import targets
+from dragonflyslip_entry import http_connection
 
 
 class _Load:
@@ -167,3 +168,56 @@
 
     async def read(self, stream, from_offset, limit, wait_s):
         await asyncio.sleep(60)
+
+
+class TestChangeBeforeWrite:
+    @pytest.mark.parametrize('how', ['instance', 'isolated'])
+    async def test_request_that_waits_for_a_connection_is_not_sent(
+        self, path, monkeypatch, how
+    ):
+        # Guards against work that was granted before a withdrawal, or before
+        # the entry lost the log, and written after it.
+        await path.publish_service('casebook', missing_key='run_once')
+        model = await path.add_target('casebook-1')
+        url = await path.add_entry('entry-1')
+        await path.until_served(url)
+        running = path.entries['entry-1']
+        opening, may_open = asyncio.Event(), asyncio.Event()
+        open_connection = http_connection.HttpConnection.open
+
+        async def open_later(*arguments):
+            opening.set()
+            await may_open.wait()
+            return await open_connection(*arguments)
+
+        monkeypatch.setattr(http_connection.HttpConnection, 'open', open_later)
+        call = asyncio.create_task(path.call(url, 'POST', '/late'))
+        await opening.wait()
+        if how == 'isolated':
+            running.dispatcher.may_serve = lambda now: False
+        else:
+            await path.publish(
+                config.Kind.INSTANCE,
+                'casebook-1',
+                models.InServiceModel(in_service=False),
+            )
+            await _until(lambda: running.board.config.instances_out)
+        may_open.set()
+        status, headers, _ = await call
+        assert (status, headers['Dragonflyslip-Outcome']) == (503, 'not-run')
+        assert not [run for run in model.runs if run.method == 'POST']
+
+
+class TestRetry:
+    async def test_repeated_call_is_marked(self, path):
+        # Guards against each of several entries on the way repeating a call.
+        urls = await path.fleet(1, 4)
+        for number in range(30):
+            await path.call(urls[0], 'GET', f'/{number}')
+        await path.call(urls[0], 'GET', '/x', headers={'X-Test-Crash': '1'})
+        marks = [run.retry for run in path.runs() if run.path == '/x']
+        assert marks == ['', '1']
+        marked = {'X-Test-Crash': '1', 'Dragonflyslip-Retry': '1'}
+        status, _, _ = await path.call(urls[0], 'GET', '/y', headers=marked)
+        marks = [run.retry for run in path.runs() if run.path == '/y']
+        assert (status, marks) == (502, ['1'])
--- a/packages/entry/tests/test_proxy.py
+++ b/packages/entry/tests/test_proxy.py
@@ -110,6 +110,28 @@
         assert status in (502, 503, 504)
         assert headers['Dragonflyslip-Outcome'] == 'not-run'
 
+    async def test_call_that_was_lost_at_the_target_is_unknown(
+        self, path, url
+    ):
+        # Guards against a caller that repeats a call which has run.
+        status, headers, _ = await path.call(
+            url, 'POST', '/x', headers={'X-Test-Crash': '1'}
+        )
+        assert (status, headers['Dragonflyslip-Outcome']) == (502, 'unknown')
+        assert [run.path for run in path.runs() if run.path == '/x'] == ['/x']
+
+
+class TestUnknownLength:
+    async def test_response_without_a_marked_end_is_refused(self, path, url):
+        # Guards against a cut response that looks whole: only the end of the
+        # connection ends this one.
+        headers = {
+            'X-Test-Response-Bytes': '1000',
+            'X-Test-Cut': 'unmarked',
+        }
+        status, headers, _ = await path.call(url, 'GET', '/', headers=headers)
+        assert (status, headers['Dragonflyslip-Outcome']) == (502, 'unknown')
+
 
 class TestShutdown:
     async def test_long_upload_survives_sigterm(self, path, url):
--- a/packages/testing/src/dragonflyslip_testing/target.py
+++ b/packages/testing/src/dragonflyslip_testing/target.py
@@ -10,6 +10,7 @@
 from aiohttp import web
 
 KEY_HEADER = 'Idempotency-Key'
+RETRY_HEADER = 'Dragonflyslip-Retry'
 CRASH_HEADER = 'X-Test-Crash'
 DELAY_HEADER = 'X-Test-Delay-Ms'
 RESPONSE_BYTES_HEADER = 'X-Test-Response-Bytes'
@@ -23,6 +24,7 @@
     """One request that the target ran.
 
     :param digest: SHA-256 of the body, empty until it was read whole.
+    :param retry: value of ``Dragonflyslip-Retry``, if any.
     """
 
     method: str
@@ -32,6 +34,7 @@
     started_at: float
     digest: str = ''
     finished: bool = False
+    retry: str = ''
 
 
 @dataclasses.dataclass
@@ -173,6 +176,7 @@
         request.headers.get(KEY_HEADER, ''),
         model.boot_id,
         time.monotonic(),
+        retry=request.headers.get(RETRY_HEADER, ''),
     )
     model.runs.append(run)
     with _in_flight(model, request):
@@ -228,6 +232,8 @@
 ) -> web.StreamResponse:
     size = int(request.headers[RESPONSE_BYTES_HEADER])
     cut = request.headers.get(CUT_HEADER)
+    if cut == 'unmarked':
+        return await _end_with_connection(request, size)
     response = web.StreamResponse(headers=headers)
     if cut != 'chunked':
         response.content_length = size
@@ -240,3 +246,12 @@
     else:
         await response.write_eof()
     return response
+
+
+async def _end_with_connection(
+    request: web.Request, size: int
+) -> web.StreamResponse:
+    """Send a body whose only end is that of the connection."""
+    request.transport.write(b'HTTP/1.1 200 OK\r\n\r\n' + _CHUNK[:size])
+    request.transport.close()
+    return web.Response()
