Order the runs of the retry test by their start

Cause: the test listed the runs by target, so the repeat came first when it ran at a target with a lower name. Ruled out: a lost mark; both runs and one mark were there. Conclusion: a fault of the new test alone.

--- a/packages/entry/tests/test_faults.py
+++ b/packages/entry/tests/test_faults.py
@@ -209,15 +209,18 @@
 
 
 class TestRetry:
+    def _marks(self, path, target_path):
+        runs = [run for run in path.runs() if run.path == target_path]
+        runs.sort(key=lambda run: run.started_at)
+        return [run.retry for run in runs]
+
     async def test_repeated_call_is_marked(self, path):
         # Guards against each of several entries on the way repeating a call.
         urls = await path.fleet(1, 4)
         for number in range(30):
             await path.call(urls[0], 'GET', f'/{number}')
         await path.call(urls[0], 'GET', '/x', headers={'X-Test-Crash': '1'})
-        marks = [run.retry for run in path.runs() if run.path == '/x']
-        assert marks == ['', '1']
+        assert self._marks(path, '/x') == ['', '1']
         marked = {'X-Test-Crash': '1', 'Dragonflyslip-Retry': '1'}
         status, _, _ = await path.call(urls[0], 'GET', '/y', headers=marked)
-        marks = [run.retry for run in path.runs() if run.path == '/y']
-        assert (status, marks) == (502, ['1'])
+        assert (status, self._marks(path, '/y')) == (502, ['1'])
