Start the operator command in benchmarks by its module

Cause: bench.processes ran the package dragonflyslip_operator, which has no __main__, so bench.load ended with an assertion before its first call.

Ruled out: a __main__ in the package; the command's module has the same entry point already.

Conclusion: the load benchmark runs again; no product code changed.

--- a/bench/processes.py
+++ b/bench/processes.py
@@ -133,7 +133,7 @@
         """Run the operator command and return its result."""
         sources = [str(p) for p in sorted(ROOT.glob('packages/*/src'))]
         return subprocess.run(
-            [sys.executable, '-m', 'dragonflyslip_operator', *arguments],
+            [sys.executable, '-m', 'dragonflyslip_operator.cli', *arguments],
             env={
                 **os.environ,
                 'PYTHONPATH': os.pathsep.join(sources),
