--- a/packages/entry/src/dragonflyslip_entry/daemon.py
+++ b/packages/entry/src/dragonflyslip_entry/daemon.py
@@ -103,6 +103,9 @@
         self.services = service_control.ServiceTable(
             board, options.failure_domain
         )
+        self.measures.registry.register(
+            metrics.ServiceCollector(board, self.services)
+        )
         self.stored = answers.AnswerStore()
         self.config = config_controller.ConfigController(
             board,
--- a/packages/entry/src/dragonflyslip_entry/metrics.py
+++ b/packages/entry/src/dragonflyslip_entry/metrics.py
@@ -6,6 +6,8 @@
 from prometheus_client import core as metrics_core
 
 from dragonflyslip_core import blackboard
+from dragonflyslip_core import domains
+from dragonflyslip_entry import service_control
 
 _LATENCY_BUCKETS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 10, 60)
 
@@ -72,6 +74,52 @@
         return prometheus_client.generate_latest(self.registry)
 
 
+class ServiceCollector:
+    """Gauges of all services, worked out when they are read.
+
+    :param services: the controls of the services.
+    """
+
+    def __init__(
+        self,
+        board: blackboard.Blackboard,
+        services: service_control.ServiceTable,
+    ):
+        self.board = board
+        self.services = services
+
+    def collect(self):
+        """Yield the gauges."""
+        spare = metrics_core.GaugeMetricFamily(
+            'dragonflyslip_spare_capacity',
+            'Free part of the slots with the largest failure domain out',
+            labels=['service'],
+        )
+        shortage = metrics_core.GaugeMetricFamily(
+            'dragonflyslip_healthy_shortage',
+            'Whether too few targets look healthy',
+            labels=['service'],
+        )
+        waiting = metrics_core.GaugeMetricFamily(
+            'dragonflyslip_calls_waiting',
+            'Calls that wait for a target',
+            labels=['service'],
+        )
+        config = self.board.config
+        for name, control in sorted(self.services.controls.items()):
+            states = domains.in_service(
+                self.board.service_targets.get(name, ()),
+                config.domains_out,
+                config.instances_out,
+            )
+            spare.add_metric(
+                [name], domains.spare_capacity(states, control.profile.slots)
+            )
+            shortage.add_metric([name], float(control.candidates.too_few))
+            waiting.add_metric([name], len(control.queue))
+        yield from (spare, shortage, waiting)
+
+
 class _CounterCollector:
     def __init__(self, board: blackboard.Blackboard):
         self.board = board
--- a/packages/entry/tests/test_proxy.py
+++ b/packages/entry/tests/test_proxy.py
@@ -94,6 +94,19 @@
         assert len(finished) == runs
 
 
+class TestMetrics:
+    async def test_page_of_metrics_names_what_is_served(self, path, url):
+        await path.call(url, 'GET', '/')
+        text = path.entries['entry-1'].measures.render().decode()
+        for line in (
+            'dragonflyslip_spare_capacity{service="casebook"}',
+            'dragonflyslip_healthy_shortage{service="casebook"} 0.0',
+            'dragonflyslip_calls_total{result="2xx",service="casebook"}',
+            'dragonflyslip_probes_total',
+        ):
+            assert line in text
+
+
 class TestOutcome:
     async def test_no_listener_means_not_run(self, path):
         await path.publish_service('casebook')
--- /dev/null
+++ b/packages/entry/tests/test_settings.py
@@ -0,0 +1,77 @@
+"""Settings: all faults at once, named, before a socket opens."""
+
+import pathlib
+
+import pytest
+
+from dragonflyslip_entry import cli
+from dragonflyslip_entry import errors
+from dragonflyslip_entry import settings
+
+GOOD = {
+    'name': 'entry-1',
+    'failure_domain': 'zone-a',
+    'log_url': 'http://10.0.0.5:7000',
+    'instances_url': 'http://10.0.0.6:7001',
+}
+PAGE = (
+    pathlib.Path(__file__).parents[3] / 'docs' / 'operators' / 'entry.md'
+).read_text()
+
+
+class TestFromSources:
+    def test_flag_wins_over_variable(self):
+        options = settings.Settings.from_sources(
+            {**GOOD, 'listen': '127.0.0.1:1'},
+            {'DRAGONFLYSLIP_LISTEN': '127.0.0.1:2'},
+        )
+        assert options.listen == '127.0.0.1:1'
+
+    def test_all_faults_are_named_with_flag_variable_and_value(self):
+        with pytest.raises(errors.SettingsError) as caught:
+            settings.Settings.from_sources(
+                {**GOOD, 'listen': 'localhost:80', 'append_rate': '-1'},
+                {'DRAGONFLYSLIP_LOG_LEVEL': 'loud'},
+            )
+        text = caught.value.format_message()
+        for part in (
+            '--listen (DRAGONFLYSLIP_LISTEN)',
+            "'localhost:80'",
+            '--append-rate',
+            "'-1'",
+            '--log-level',
+            "'loud'",
+        ):
+            assert part in text
+        assert len(caught.value.faults) == 3
+
+    @pytest.mark.parametrize(
+        'endpoint', ['80', ':80', '1.2.3.4', '1.2.3.4:x', '1.2.3.4:70000', '']
+    )
+    def test_bad_endpoints_are_faults(self, endpoint):
+        with pytest.raises(errors.SettingsError):
+            settings.Settings.from_sources({**GOOD, 'listen': endpoint}, {})
+
+
+class TestCommand:
+    def test_check_settings_validates_and_stops(self, capsys, monkeypatch):
+        flags = [
+            f'{settings.flag_name(field)}={value}'
+            for field, value in GOOD.items()
+        ]
+        assert cli.main(['--check-settings', *flags]) == 0
+        monkeypatch.delenv('DRAGONFLYSLIP_NAME', raising=False)
+        assert cli.main(['--check-settings', *flags[1:]]) == 2
+        assert '--name (DRAGONFLYSLIP_NAME)' in capsys.readouterr().err
+
+
+class TestPage:
+    def test_page_lists_each_setting_with_its_default(self):
+        for field, info in settings.Settings.model_fields.items():
+            default = 'none' if info.is_required() else info.default
+            row = (
+                f'| `{settings.flag_name(field)}` '
+                f'| `{settings.variable_name(field)}` '
+                f'| {default} | {info.description} |'
+            )
+            assert row in PAGE
