Split the loop over attempts and count each send once

Cause: a cancelled call could keep its grant while it waited to repeat a refused send, and a hedge did not count towards max_attempts afterwards.

Change: one step to send, one to decide, one to wait; a refused response is released before the wait; sends are counted where they are written.

Ruled out: counting attempts in the loop, which does not see hedges.

--- a/packages/entry/src/dragonflyslip_entry/attempts.py
+++ b/packages/entry/src/dragonflyslip_entry/attempts.py
@@ -90,6 +90,7 @@
             if extra_check is not None and not extra_check():
                 raise errors.SendRefusedError('claim', 'claim is not held')
             call.written = True
+            call.sends += 1
 
         attempt = http_connection.Attempt(check)
         request = http_connection.Request(
--- a/packages/entry/src/dragonflyslip_entry/calls.py
+++ b/packages/entry/src/dragonflyslip_entry/calls.py
@@ -29,6 +29,7 @@
     :param has_body: whether a body follows the headers.
     :param fingerprint: identifies the request among crash marks; empty
         until it is needed or its body has passed.
+    :param sends: attempts that have been written, hedges included.
     :param written: whether an attempt has been written to a target that has
         not said that it did not run it.
     :param lost: whether such an attempt ended without a response.
@@ -53,6 +54,7 @@
     expects_continue: bool
     content_length: int | None
     fingerprint: str = ''
+    sends: int = 0
     written: bool = False
     lost: bool = False
     marks_response: bool = False
--- a/packages/entry/src/dragonflyslip_entry/plain_calls.py
+++ b/packages/entry/src/dragonflyslip_entry/plain_calls.py
@@ -21,6 +21,8 @@
 # are no retries; still a call does not try all targets in turn.
 MAX_UNWRITTEN = 4
 
+_Ended = attempts.Sent | errors.SendRefusedError | errors.TargetError
+
 
 class PlainCalls:
     """Sends calls until one is answered or may not be repeated.
@@ -101,71 +103,94 @@
         self, call: calls.Call, body: progress.CallerBody | None
     ) -> attempts.Sent | outcomes.Refusal:
         excluded: set[str] = set()
-        written, unwritten = 0, 0
+        unwritten = 0
         while True:
             granted = await self.granting.acquire(call, excluded)
             if isinstance(granted, result.Failure):
                 return granted.failure()
             grant = granted.unwrap()
             excluded.add(grant.target.instance_id)
-            mark = None
-            try:
-                if body is None and not written and call.idempotent:
-                    sent = await self.runner.send_hedged(call, grant, excluded)
-                else:
-                    sent = await self.runner.send(
-                        call, grant, body, repeated=written > 0
-                    )
-                if not sent.shed:
-                    return sent
-                call.written = call.lost
-                mark = sent.exchange.response.headers.get(retries.RETRY_HEADER)
-                written += 1
-                if not await self._may_repeat(
-                    call, grant, written, body, mark
-                ):
-                    return sent
-                self.runner.finish(call, sent)
-                continue
-            except errors.SendRefusedError as error:
+            ended = await self._try(call, grant, body, excluded)
+            if isinstance(ended, attempts.Sent) and not ended.shed:
+                return ended
+            if _is_unwritten(ended, body):
                 unwritten += 1
-                if unwritten >= MAX_UNWRITTEN:
-                    return refusals.not_sent(call, error)
-                if error.kind == 'suspect-request':
-                    return refusals.not_sent(call, error)
-                continue
-            except errors.TargetError as error:
-                if not error.written and not (body and body.started):
-                    unwritten += 1
-                    if unwritten < MAX_UNWRITTEN:
-                        continue
-                    return refusals.bad_gateway(call, error.kind)
-                written += 1
-                if not await self._may_repeat(
-                    call, grant, written, body, None
-                ):
-                    return refusals.bad_gateway(call, error.kind)
-
-    async def _may_repeat(
+                if unwritten < MAX_UNWRITTEN and not _is_final(ended):
+                    continue
+                return _refusal_of(call, ended)
+            repeat = self._repeat(call, grant, body, ended)
+            if isinstance(ended, attempts.Sent):
+                if repeat is None:
+                    return ended
+                self.runner.finish(call, ended)
+            if repeat is None:
+                return _refusal_of(call, ended)
+            await asyncio.sleep(max(0.0, repeat.at - self.loop.time()))
+
+    async def _try(
+        self,
+        call: calls.Call,
+        grant: dispatcher.Grant,
+        body: progress.CallerBody | None,
+        excluded: set[str],
+    ) -> _Ended:
+        try:
+            if body is None and not call.sends and call.idempotent:
+                sent = await self.runner.send_hedged(call, grant, excluded)
+            else:
+                sent = await self.runner.send(
+                    call, grant, body, repeated=call.sends > 0
+                )
+        except (errors.SendRefusedError, errors.TargetError) as error:
+            return error
+        if sent.shed:
+            call.written = call.lost
+        return sent
+
+    def _repeat(
         self,
         call: calls.Call,
         grant: dispatcher.Grant,
-        written: int,
         body: progress.CallerBody | None,
-        response_mark: str | None,
-    ) -> bool:
+        ended: _Ended,
+    ) -> retries.Repeat | None:
+        """Return when to send the call again, None if not at all."""
+        mark = None
+        if isinstance(ended, attempts.Sent):
+            mark = ended.exchange.response.headers.get(retries.RETRY_HEADER)
         control = grant.control
         decision = control.retry.next_attempt(
-            attempts.progress_of(call, written, body),
+            attempts.progress_of(call, call.sends, body),
             self.loop.time(),
             self.rng,
             control.queue.needed_s,
-            response_mark,
+            mark,
         )
         if isinstance(decision, retries.NoRepeat):
             self.board.count(f'retries_denied_{decision.reason.name.lower()}')
             call.marks_response |= decision.marks_response
-            return False
+            return None
         self.board.count('retries')
-        await asyncio.sleep(max(0.0, decision.at - self.loop.time()))
-        return True
+        return decision
+
+
+def _is_unwritten(ended: _Ended, body: progress.CallerBody | None) -> bool:
+    match ended:
+        case errors.SendRefusedError():
+            return True
+        case errors.TargetError():
+            return not ended.written and not (body and body.started)
+    return False
+
+
+def _is_final(ended: _Ended) -> bool:
+    return (
+        isinstance(ended, errors.SendRefusedError)
+        and ended.kind == 'suspect-request'
+    )
+
+
+def _refusal_of(call: calls.Call, ended: _Ended) -> outcomes.Refusal:
+    if isinstance(ended, errors.SendRefusedError):
+        return refusals.not_sent(call, ended)
+    return refusals.bad_gateway(call, ended.kind)
