Share the platform clients' base and the choice of test ports

Cause: both clients and both test runners had the same lines.

Ruled out: merging the two clients, which serve different protocols.

After: contract and path tests pass.

--- a/bench/load.py
+++ b/bench/load.py
@@ -101,7 +101,7 @@
         )
         assert published.returncode == 0, published.stderr
         entry_port = group.entry('entry-1')
-        bare_port = processes.free_port()
+        bare_port = processes.ports.free_port()
         group.start(
             'bare',
             'bench.passthrough',
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -4,7 +4,6 @@
 import json
 import os
 import pathlib
-import random
 import signal
 import socket
 import subprocess
@@ -13,18 +12,9 @@
 import urllib.error
 import urllib.request
 
-ROOT = pathlib.Path(__file__).resolve().parent.parent
-# Below the range from which the kernel takes ports for outgoing connections.
-_PORTS = range(10_000, 30_000)
-
+from dragonflyslip_testing import ports
 
-def free_port() -> int:
-    """Return a port of the loopback interface that is free now."""
-    while True:
-        port = random.choice(_PORTS)
-        with socket.socket() as probe, contextlib.suppress(OSError):
-            probe.bind(('127.0.0.1', port))
-            return port
+ROOT = pathlib.Path(__file__).resolve().parent.parent
 
 
 def http_json(url: str, method: str = 'GET', body: object = None):
@@ -85,7 +75,7 @@
 
     def stand_in(self, kind: str, name: str = '', **options) -> int:
         """Start a stand-in and return its port once it answers."""
-        port = free_port()
+        port = ports.free_port()
         flags = [
             f'--{key.replace("_", "-")}={value}'
             for key, value in options.items()
@@ -112,7 +102,7 @@
 
     def entry(self, name: str, domain: str = 'zone-a', **variables) -> int:
         """Start an entry, list it and return its port for callers."""
-        port, peer_port = free_port(), free_port()
+        port, peer_port = ports.free_port(), ports.free_port()
         # The operator command expects the admin port at a fixed distance.
         admin_port = peer_port + 1000
         self.admin_ports[name] = admin_port
--- a/packages/entry/tests/conftest.py
+++ b/packages/entry/tests/conftest.py
@@ -3,7 +3,6 @@
 import asyncio
 import contextlib
 import random
-import socket
 import time
 import uuid
 
@@ -23,22 +22,10 @@
 from dragonflyslip_entry import target_controller
 import dragonflyslip_platform as platform
 import dragonflyslip_testing as stand_ins
+from dragonflyslip_testing import ports
 from dragonflyslip_testing import target as target_stand_in
 
 
-# Below the range from which the kernel takes ports for outgoing connections,
-# so that no other connection takes a port between its choice and its use.
-_PORTS = range(10_000, 30_000)
-
-
-def free_port() -> int:
-    while True:
-        port = random.choice(_PORTS)
-        with socket.socket() as probe, contextlib.suppress(OSError):
-            probe.bind(('127.0.0.1', port))
-            return port
-
-
 @pytest.fixture(autouse=True)
 def short_periods(monkeypatch):
     """Shorten all periods of membership alike, so that tests start soon."""
@@ -78,7 +65,7 @@
             shutdown_timeout=0.1,
         )
         await runner.setup()
-        port = free_port()
+        port = ports.free_port()
         await web.TCPSite(runner, '127.0.0.1', port).start()
         self.stack.push_async_callback(runner.cleanup)
         self.targets[name] = state
@@ -122,15 +109,15 @@
         )
 
     async def add_entry(self, name: str, **options) -> str:
-        peer_port = free_port()
-        url = f'127.0.0.1:{free_port()}'
+        peer_port = ports.free_port()
+        url = f'127.0.0.1:{ports.free_port()}'
         settings = entry.Settings(
             **{
                 'name': name,
                 'failure_domain': 'a',
                 'listen': url,
                 'peer_listen': f'127.0.0.1:{peer_port}',
-                'admin_listen': f'127.0.0.1:{free_port()}',
+                'admin_listen': f'127.0.0.1:{ports.free_port()}',
                 'log_url': 'http://127.0.0.1:1',
                 'instances_url': 'http://127.0.0.1:1',
                 'drain_delay_s': 0.0,
--- a/packages/platform/src/dragonflyslip_platform/instances.py
+++ b/packages/platform/src/dragonflyslip_platform/instances.py
@@ -9,6 +9,7 @@
 from returns import result
 
 from dragonflyslip_core import targets
+from dragonflyslip_platform import client
 from dragonflyslip_platform import errors
 
 Kind = typing.Literal['target', 'entry']
@@ -78,23 +79,8 @@
 _INSTANCES = pydantic.TypeAdapter(list[_InstanceModel])
 
 
-class HttpInstanceList:
-    """Client of the instance list over HTTP.
-
-    :param session: the HTTP session; its owner closes it.
-    :param base_url: such as ``http://10.0.0.6:7001``.
-    :param timeout_s: seconds until a request counts as lost.
-    """
-
-    def __init__(
-        self,
-        session: aiohttp.ClientSession,
-        base_url: str,
-        timeout_s: float = 2.0,
-    ):
-        self.session = session
-        self.base_url = base_url.rstrip('/')
-        self.timeout_s = timeout_s
+class HttpInstanceList(client.HttpClient):
+    """Client of the instance list over HTTP."""
 
     async def list_instances(self) -> ListResult:
         """Return all rows; an invalid row makes the whole list invalid.
--- a/packages/platform/src/dragonflyslip_platform/log.py
+++ b/packages/platform/src/dragonflyslip_platform/log.py
@@ -10,6 +10,7 @@
 import pydantic
 from returns import result
 
+from dragonflyslip_platform import client
 from dragonflyslip_platform import errors
 
 FIRST_OFFSET = 1
@@ -116,23 +117,8 @@
     first: int = pydantic.Field(ge=FIRST_OFFSET)
 
 
-class HttpLogService:
-    """Client of the log service over HTTP.
-
-    :param session: the HTTP session; its owner closes it.
-    :param base_url: such as ``http://10.0.0.5:7000``.
-    :param timeout_s: seconds until a request counts as lost.
-    """
-
-    def __init__(
-        self,
-        session: aiohttp.ClientSession,
-        base_url: str,
-        timeout_s: float = 2.0,
-    ):
-        self.session = session
-        self.base_url = base_url.rstrip('/')
-        self.timeout_s = timeout_s
+class HttpLogService(client.HttpClient):
+    """Client of the log service over HTTP."""
 
     async def append(self, stream: str, data: bytes) -> AppendResult:
         """Append one record; see :meth:`LogService.append`."""
