Order crashes of one moment alike at every entry

Cause: crashes with equal times were ordered by when an entry learned of them, and the exception for a target that fails anyway looks at three in a row. Two entries with the same crashes could thus differ on a request.

Ruled out: a fault in the oracle, which orders by time and key as the rule asks.

Before: TestOrder fails with two verdicts over the orders of four marks.

Conclusion: fixed.

--- a/packages/core/src/dragonflyslip_core/suspects.py
+++ b/packages/core/src/dragonflyslip_core/suspects.py
@@ -360,7 +360,11 @@
         self._exceptions_due = False
         by_domain = collections.defaultdict(list)
         by_target = collections.defaultdict(list)
-        for crash in sorted(self._crashes.values(), key=lambda c: c.at):
+        # The key orders crashes of one moment alike at every entry.
+        in_order = sorted(
+            self._crashes.values(), key=lambda crash: (crash.at, crash.key)
+        )
+        for crash in in_order:
             crash.excepted = False
             by_domain[crash.failure_domain].append(crash)
             by_target[crash.target_id].append(crash)
--- a/packages/core/tests/test_suspects.py
+++ b/packages/core/tests/test_suspects.py
@@ -203,6 +203,28 @@
         assert not suspects.SuspectTable().merge(mark, 1e6)
 
 
+class TestOrder:
+    """Entries that learn of the same crashes in another order agree."""
+
+    def test_crashes_of_one_moment(self):
+        marks = [
+            suspects.CrashMark('c', boot, 'd1', 0.0, TTL, prints)
+            for boot, prints in (
+                ('0', ('y',)),
+                ('1', ()),
+                ('2', ()),
+                ('3', ('y',)),
+            )
+        ]
+        verdicts = set()
+        for order in itertools.permutations(marks):
+            table = suspects.SuspectTable()
+            for mark in order:
+                table.merge(mark, 0.0)
+            verdicts.add(table.is_suspect('y', 0.0))
+        assert len(verdicts) == 1
+
+
 class SuspectMachine(stateful.RuleBasedStateMachine):
     """Two entries that exchange marks agree with the rules of the design.
 
