--- a/packages/platform/src/dragonflyslip_platform/client.py
+++ b/packages/platform/src/dragonflyslip_platform/client.py
@@ -1,5 +1,7 @@
 """What the HTTP clients of the platform's services share."""
 
+import asyncio
+
 import aiohttp
 
 
@@ -20,3 +22,11 @@
         self.session = session
         self.base_url = base_url.rstrip('/')
         self.timeout_s = timeout_s
+
+    def describe(self, error: Exception) -> str:
+        """Return one line on what failed, for an operator."""
+        if isinstance(error, aiohttp.ClientConnectorError):
+            return f'{self.base_url} refuses connections'
+        if isinstance(error, asyncio.TimeoutError):
+            return f'{self.base_url} did not answer in time'
+        return f'{self.base_url}: {error or type(error).__name__}'
--- a/packages/platform/src/dragonflyslip_platform/instances.py
+++ b/packages/platform/src/dragonflyslip_platform/instances.py
@@ -102,7 +102,9 @@
             rows = _INSTANCES.validate_json(body)
         except (aiohttp.ClientError, asyncio.TimeoutError) as error:
             return result.Failure(
-                errors.UnavailableError(f'instance list failed: {error!r}')
+                errors.UnavailableError(
+                    f'instance list failed: {self.describe(error)}'
+                )
             )
         except ValueError as error:
             return result.Failure(
--- a/packages/platform/src/dragonflyslip_platform/log.py
+++ b/packages/platform/src/dragonflyslip_platform/log.py
@@ -136,12 +136,14 @@
                 return self._appended(response.status, await response.read())
         except aiohttp.ClientConnectorError as error:
             return result.Failure(
-                errors.UnavailableError(f'log is unreachable: {error}')
+                errors.UnavailableError(
+                    f'log is unreachable: {self.describe(error)}'
+                )
             )
         except (aiohttp.ClientError, asyncio.TimeoutError) as error:
             return result.Failure(
                 errors.UncertainAppendError(
-                    f'append response was lost: {error!r}'
+                    f'append response was lost: {self.describe(error)}'
                 )
             )
 
@@ -164,7 +166,9 @@
                 return self._page(response.status, await response.read())
         except (aiohttp.ClientError, asyncio.TimeoutError) as error:
             return result.Failure(
-                errors.UnavailableError(f'log read failed: {error!r}')
+                errors.UnavailableError(
+                    f'log read failed: {self.describe(error)}'
+                )
             )
 
     def _url(self, stream: str) -> str:
--- a/packages/testing/src/dragonflyslip_testing/demo.py
+++ b/packages/testing/src/dragonflyslip_testing/demo.py
@@ -74,6 +74,20 @@
                 ),
             )
 
+    def list_entry(self) -> None:
+        """List the entry, so that the operator command finds it."""
+        self.instances.rows += (
+            platform.ListedInstance(
+                'entry-1',
+                'entry',
+                '',
+                _HOST,
+                self.base_port + 1,
+                'zone-a',
+                targets.InstanceState.LIVE,
+            ),
+        )
+
     async def publish(
         self, kind: config.Kind, name: str, body, version: int
     ) -> int:
@@ -157,6 +171,7 @@
             models.ServiceModel(profile='demo'),
             0,
         )
+        demo.list_entry()
         running = entry.Entry(demo.settings())
         task = asyncio.create_task(running.run())
         await _show(demo, version, hold_s)
