--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -282,7 +282,7 @@
     ),
     Mutation(
         'release-after-send',
-        f'{_ENTRY}/proxy.py',
+        f'{_ENTRY}/claimed_calls.py',
         'if claim.state is claims.ClaimState.HELD:',
         'if True:',
         f'{_ENTRY_TESTS}/test_keyed_calls.py::TestRefusals',
@@ -381,7 +381,7 @@
     ),
     Mutation(
         'unknown-length',
-        f'{_ENTRY}/proxy.py',
+        f'{_ENTRY}/plain_calls.py',
         'if not response.has_known_end:',
         'if False:',
         f'{_ENTRY_TESTS}/test_proxy.py::TestUnknownLength',
