Send part of the calls to cold targets that this entry warms up

Cause: the policy gives a target without recent news a little more than the free one that was used last. One caller at a time sent all calls to one of two cold targets, and the other one stayed cold until a burst.

Change: a cold target that this entry holds and that has room is chosen in proportion to its number among the targets with room.

--- a/packages/entry/src/dragonflyslip_entry/dispatcher.py
+++ b/packages/entry/src/dragonflyslip_entry/dispatcher.py
@@ -159,6 +159,11 @@
         ]
         if not usable:
             return self._refuse_without_hope(candidates, call, excluded)
+        cold = [s for s in usable if s.warm_limit is not None]
+        if cold and self.rng.random() * len(usable) < len(cold):
+            # A policy prefers the target that it knows best. At low load a
+            # cold one would get nothing and meet the next burst cold.
+            usable = cold
         near = control.split.select(
             usable, control.profile.slots, now, self.rng
         )
--- a/packages/entry/src/dragonflyslip_entry/peer_controller.py
+++ b/packages/entry/src/dragonflyslip_entry/peer_controller.py
@@ -263,7 +263,11 @@
     def _take_config(
         self, link: peer_links.PeerLink, push: wire.ConfigPush
     ) -> None:
-        parts = self._parts.setdefault((str(link.peer), push.through), {})
+        key = (str(link.peer), push.through)
+        if key not in self._parts:
+            # One snapshot at a time; what a peer left incomplete is dropped.
+            self._parts = {key: {}}
+        parts = self._parts[key]
         parts[push.part] = push.body
         if len(parts) < push.parts:
             return
--- a/packages/entry/tests/test_faults.py
+++ b/packages/entry/tests/test_faults.py
@@ -152,6 +152,21 @@
             assert (status, len(path.runs(key))) == (200, 1)
 
 
+class TestLowLoad:
+    async def test_one_caller_warms_up_all_targets(self, path):
+        """The target used last must not attract every call."""
+        urls = await path.fleet(1, 2, warmup_s=0.2)
+        for model in path.targets.values():
+            model.restart()
+        states = path.entries['entry-1'].board.targets.values()
+        await _until(lambda: all(s.warm_limit is not None for s in states))
+        for _ in range(1000):
+            await path.call(urls[0], 'GET', '/')
+            if all(s.warm_limit is None for s in states):
+                return
+        raise AssertionError([s.warm_limit for s in states])
+
+
 class TestCrashingRequest:
     async def test_it_reaches_at_most_two_targets(self, path):
         urls = await path.fleet(2, 5, max_attempts=1)
