--- a/packages/entry/src/dragonflyslip_entry/cli.py
+++ b/packages/entry/src/dragonflyslip_entry/cli.py
@@ -1,7 +1,6 @@
 """The command ``dragonflyslipd``."""
 
 import argparse
-import gc
 import os
 import sys
 
@@ -12,10 +11,6 @@
 from dragonflyslip_entry import logs
 from dragonflyslip_entry import settings
 
-# A call allocates some hundred objects that reference counting frees. The
-# default of 700 for the first threshold runs the collector every few calls.
-_GC_THRESHOLDS = (50_000, 20, 50)
-
 _EPILOG = """\
 Each flag can be given as an environment variable; a flag takes precedence.
 
@@ -68,10 +63,7 @@
 
 
 async def _run(options: settings.Settings) -> None:
-    entry = daemon.Entry(options)
-    gc.freeze()
-    gc.set_threshold(*_GC_THRESHOLDS)
-    await entry.run()
+    await daemon.Entry(options).run()
 
 
 if __name__ == '__main__':
