Measure slopes on the connections that the entry now uses

Cause: bench.slopes called the connection table as it was before the entry stopped using client sessions, and ended with an error.

--- a/bench/slopes_objects.py
+++ b/bench/slopes_objects.py
@@ -8,6 +8,7 @@
 import asyncio
 import collections.abc
 import gc
+import math
 import os
 import pathlib
 import random
@@ -27,9 +28,11 @@
 from dragonflyslip_core import connections
 from dragonflyslip_core import membership
 from dragonflyslip_core import models
+from dragonflyslip_core import profiles
 from dragonflyslip_core import targets
 from dragonflyslip_core import warmup
 import dragonflyslip_entry as entry
+from dragonflyslip_entry import http_connection
 from dragonflyslip_entry import peer_links
 from dragonflyslip_entry import upstream
 import dragonflyslip_platform as platform
@@ -665,7 +668,7 @@
                 await watch.probe()
             best = min(best, time.process_time() - started)
         points.append((count, best * 1e6))
-    await daemon.watching.close()
+    daemon.watching.close()
     await daemon.session.close()
     return [
         fits.Fit(
@@ -690,24 +693,23 @@
     rules = connections.ConnectionRules(300.0, 15.0, 2000)
     rules.set_share(1.0)
     pool = upstream.TargetConnections(target, rules)
+    profile = profiles.Profile.from_model('held', models.ProfileModel())
     points = []
     for count in (100, 200, 400, 800):
         while len(rules) < count:
             exchange = await pool.send(
-                upstream.Attempt(lambda now: None),
-                'GET',
-                '/',
-                multidict.CIMultiDict({'Host': 'held'}),
-                None,
-                False,
-                False,
-                5.0,
-                5.0,
+                http_connection.Request(
+                    'GET', '/', multidict.CIMultiDict({'Host': 'held'})
+                ),
+                http_connection.Attempt(lambda now: None),
+                profile,
+                idempotent=False,
+                deadline_at=math.inf,
             )
-            await exchange.response.read()
-            await exchange.close()
+            await exchange.response.content.read()
+            exchange.close()
         points.append((count, _own_resident_bytes()))
-    await pool.close()
+    pool.close()
     return [
         fits.Fit(
             'resident memory per connection to a target',
