Move changes and the claim batcher to modules of their own

Change: changes.py parses and encodes what operators publish, config.py folds it; claims.py keeps the table, claim_batcher.py appends.

After: the tests of core, operator and entry pass unchanged but for the module names, and the mutations that follow the moved code are caught.

Conclusion: no change of behaviour.

--- a/bench/claims.py
+++ b/bench/claims.py
@@ -11,6 +11,7 @@
 import random
 
 from dragonflyslip_core import budgets
+from dragonflyslip_core import claim_batcher
 from dragonflyslip_core import claim_batches
 from dragonflyslip_core import claims
 
@@ -73,7 +74,7 @@
             bucket.refill(self.now)
         name = f'entry-{next(self.names)}/0123456789abcdef'
         appends = 10**9 if self.mode == 'at once' else 8
-        batcher = claims.ClaimBatcher(name, bucket, max_appends=appends)
+        batcher = claim_batcher.ClaimBatcher(name, bucket, max_appends=appends)
         return Entry(name, ready_at, batcher)
 
     def at(self, when, step, *arguments):
--- a/bench/slopes_objects.py
+++ b/bench/slopes_objects.py
@@ -22,7 +22,9 @@
 from bench import processes
 from dragonflyslip_core import answers
 from dragonflyslip_core import budgets
+from dragonflyslip_core import changes
 from dragonflyslip_core import checkpoints
+from dragonflyslip_core import claim_batcher
 from dragonflyslip_core import claims
 from dragonflyslip_core import config
 from dragonflyslip_core import connections
@@ -80,12 +82,12 @@
     def __init__(self, rng: random.Random):
         self.rng = rng
         self.offset = 0
-        self.versions: dict[tuple[config.Kind, str], int] = {}
+        self.versions: dict[tuple[changes.Kind, str], int] = {}
 
-    def encode(self, kind: config.Kind, name: str, body) -> bytes:
+    def encode(self, kind: changes.Kind, name: str, body) -> bytes:
         """Return the next record of the stream."""
         self.offset += 1
-        change = config.ConfigChange(
+        change = changes.ConfigChange(
             str(uuid.UUID(int=self.rng.getrandbits(128), version=4)),
             'bench',
             1_700_000_000_000,
@@ -95,18 +97,18 @@
             body,
         )
         self.versions[kind, name] = self.offset
-        return config.encode_change(change)
+        return changes.encode_change(change)
 
     def profile(self, name: str = 'bench', **fields) -> bytes:
         """Return a record that publishes a profile."""
         return self.encode(
-            config.Kind.PROFILE, name, models.ProfileModel(**fields)
+            changes.Kind.PROFILE, name, models.ProfileModel(**fields)
         )
 
     def service(self, name: str, profile: str = 'bench') -> bytes:
         """Return a record that publishes a service."""
         return self.encode(
-            config.Kind.SERVICE,
+            changes.Kind.SERVICE,
             name,
             models.ServiceModel(profile=profile, hosts=(f'{name}.example',)),
         )
@@ -363,24 +365,24 @@
 def _checkpoint_fits() -> list[fits.Fit]:
     made, loaded, size = [], [], []
     made_seen, loaded_seen = [], []
-    for services, changes in (
+    for services, seen in (
         (145, 8192),
         (290, 8192),
         (580, 8192),
         (580, 4096),
         (580, 2048),
     ):
-        state = _folded(services, changes)
+        state = _folded(services, seen)
         record = checkpoints.make_checkpoint(state)
         make = cpu_us(lambda s=state: checkpoints.make_checkpoint(s), 3)
         load = cpu_us(lambda r=record: checkpoints.load_checkpoint(r), 1)
-        if changes == 8192:
+        if seen == 8192:
             made.append((services, make))
             loaded.append((services, load))
             size.append((services, len(record)))
         if services == 580:
-            made_seen.append((changes, make))
-            loaded_seen.append((changes, load))
+            made_seen.append((seen, make))
+            loaded_seen.append((seen, load))
     history = '8,192 change ids'
     figures = [
         (f'checkpoint made, {history}', 'services', made),
@@ -552,7 +554,7 @@
         batches = _claim_batches(count * 30, count)
         offsets = iter(range(1, 31))
         table = claims.ClaimTable()
-        batcher = claims.ClaimBatcher(
+        batcher = claim_batcher.ClaimBatcher(
             'entry-01/1', budgets.TokenBucket(1.0, 1.0)
         )
 
--- /dev/null
+++ b/packages/core/src/dragonflyslip_core/changes.py
@@ -0,0 +1,155 @@
+"""Changes of the configuration as operators publish them."""
+
+import dataclasses
+import enum
+import json
+import re
+import typing
+import uuid
+
+import pydantic
+from returns import result
+
+from dragonflyslip_core import errors
+from dragonflyslip_core import models
+
+MAX_CHANGE_BYTES = 16_384
+_NAME = re.compile(models.NAME_PATTERN)
+# Instance ids and request fingerprints come from other systems.
+_FOREIGN_NAME = re.compile(r'^[\x21-\x7e]{1,200}$')
+_MAX_JSON_INTEGER = 2**53 - 1
+
+Body: typing.TypeAlias = (
+    models.ProfileModel
+    | models.ServiceModel
+    | models.InServiceModel
+    | models.LiftSuspectModel
+)
+
+
+class Kind(enum.StrEnum):
+    """What a configuration record changes."""
+
+    PROFILE = 'profile'
+    SERVICE = 'service'
+    DOMAIN = 'domain'
+    INSTANCE = 'instance'
+    LIFT_SUSPECT = 'lift_suspect'
+    CHECKPOINT = 'checkpoint'
+
+
+BODY_MODELS: dict[Kind, type[Body]] = {
+    Kind.PROFILE: models.ProfileModel,
+    Kind.SERVICE: models.ServiceModel,
+    Kind.DOMAIN: models.InServiceModel,
+    Kind.INSTANCE: models.InServiceModel,
+    Kind.LIFT_SUSPECT: models.LiftSuspectModel,
+}
+
+
+class ChangeModel(pydantic.BaseModel):
+    """A configuration record as it is on the log."""
+
+    model_config = pydantic.ConfigDict(extra='forbid', frozen=True)
+
+    change_id: uuid.UUID
+    author: str = pydantic.Field(min_length=1, max_length=200)
+    at: int = pydantic.Field(ge=0, le=_MAX_JSON_INTEGER)
+    kind: Kind
+    name: str = pydantic.Field(max_length=200)
+    expected_version: int = pydantic.Field(ge=0, le=_MAX_JSON_INTEGER)
+    body: dict[str, typing.Any]
+
+
+@dataclasses.dataclass(frozen=True)
+class ConfigChange:
+    """One change that an operator publishes.
+
+    :param change_id: UUID text; the same id marks a repeated append.
+    :param author: who publishes the change.
+    :param at_ms: Unix ms by the author's clock, for the audit only.
+    :param name: of the profile, service, domain, instance or fingerprint.
+    :param expected_version: offset of the change that this one replaces; 0
+        for an item without one.
+    :param body: the validated body for ``kind``.
+    """
+
+    change_id: str
+    author: str
+    at_ms: int
+    kind: Kind
+    name: str
+    expected_version: int
+    body: Body
+
+    def body_members(self) -> dict[str, typing.Any]:
+        """Return the members that the author set, as JSON values."""
+        return self.body.model_dump(mode='json', exclude_unset=True)
+
+
+def canonical_json(value: typing.Any) -> bytes:
+    """Return ``value`` as JSON bytes, equal for equal values.
+
+    :raises ValueError: for NaN and infinities.
+    """
+    return json.dumps(
+        value, sort_keys=True, separators=(',', ':'), allow_nan=False
+    ).encode()
+
+
+def encode_change(change: ConfigChange) -> bytes:
+    """Return the record of a change, ready to append to ``config``."""
+    return canonical_json(
+        {
+            'change_id': change.change_id,
+            'author': change.author,
+            'at': change.at_ms,
+            'kind': change.kind.value,
+            'name': change.name,
+            'expected_version': change.expected_version,
+            'body': change.body_members(),
+        }
+    )
+
+
+def parse_change(
+    data: bytes,
+) -> result.Result[ConfigChange, errors.RecordError]:
+    """Parse a record of any kind but ``checkpoint``.
+
+    :param data: the bytes of one log record.
+    :return: the change, or :exc:`~errors.RecordError` that says what is
+        wrong with it.
+    """
+    if len(data) > MAX_CHANGE_BYTES:
+        return record_failure(
+            f'change has {len(data)} bytes, more than {MAX_CHANGE_BYTES}'
+        )
+    try:
+        model = ChangeModel.model_validate_json(data)
+        if model.kind not in BODY_MODELS:
+            return record_failure(f'{model.kind} is not an operator change')
+        body = BODY_MODELS[model.kind].model_validate(model.body)
+        change = ConfigChange(
+            change_id=str(model.change_id),
+            author=model.author,
+            at_ms=model.at,
+            kind=model.kind,
+            name=model.name,
+            expected_version=model.expected_version,
+            body=body,
+        )
+        # Refuses NaN, which the state could not carry.
+        encode_change(change)
+    except ValueError as error:
+        return record_failure(f'invalid change: {error}')
+    foreign = change.kind in (Kind.INSTANCE, Kind.LIFT_SUSPECT)
+    pattern = _FOREIGN_NAME if foreign else _NAME
+    if pattern.fullmatch(change.name) is None:
+        return record_failure(f'invalid {change.kind} name {change.name!r}')
+    return result.Success(change)
+
+
+def record_failure(message: str) -> result.Failure[errors.RecordError]:
+    """Return the failure of a record, with the reason."""
+    return result.Failure(errors.RecordError(message))
--- a/packages/core/src/dragonflyslip_core/config.py
+++ b/packages/core/src/dragonflyslip_core/config.py
@@ -11,168 +11,26 @@
 import functools
 import hashlib
 import json
-import re
 import struct
 import typing
 import uuid
 
-import pydantic
 from returns import result
 
+from dragonflyslip_core import changes
 from dragonflyslip_core import errors
-from dragonflyslip_core import models
 from dragonflyslip_core import profiles
 from dragonflyslip_core import targets
 
-MAX_CHANGE_BYTES = 16_384
 AUDIT_ENTRIES = 64
 # The audit of 64 changes must not make a checkpoint too large to send.
 AUDIT_BODY_BYTES = 2_048
 # A day at 7,800 changes. An id that is forgotten cannot bring its change
 # back: the version that the change expects has passed by then.
 SEEN_OFFSETS = 8_192
-
-_NAME = re.compile(models.NAME_PATTERN)
-# Instance ids and request fingerprints come from other systems.
-_FOREIGN_NAME = re.compile(r'^[\x21-\x7e]{1,200}$')
-_MAX_JSON_INTEGER = 2**53 - 1
 # Distance from the oldest offset in the window, and the id's bytes.
 _SEEN = struct.Struct('<H16s')
 
-Body: typing.TypeAlias = (
-    models.ProfileModel
-    | models.ServiceModel
-    | models.InServiceModel
-    | models.LiftSuspectModel
-)
-
-
-class Kind(enum.StrEnum):
-    """What a configuration record changes."""
-
-    PROFILE = 'profile'
-    SERVICE = 'service'
-    DOMAIN = 'domain'
-    INSTANCE = 'instance'
-    LIFT_SUSPECT = 'lift_suspect'
-    CHECKPOINT = 'checkpoint'
-
-
-BODY_MODELS: dict[Kind, type[Body]] = {
-    Kind.PROFILE: models.ProfileModel,
-    Kind.SERVICE: models.ServiceModel,
-    Kind.DOMAIN: models.InServiceModel,
-    Kind.INSTANCE: models.InServiceModel,
-    Kind.LIFT_SUSPECT: models.LiftSuspectModel,
-}
-
-
-class ChangeModel(pydantic.BaseModel):
-    """A configuration record as it is on the log."""
-
-    model_config = pydantic.ConfigDict(extra='forbid', frozen=True)
-
-    change_id: uuid.UUID
-    author: str = pydantic.Field(min_length=1, max_length=200)
-    at: int = pydantic.Field(ge=0, le=_MAX_JSON_INTEGER)
-    kind: Kind
-    name: str = pydantic.Field(max_length=200)
-    expected_version: int = pydantic.Field(ge=0, le=_MAX_JSON_INTEGER)
-    body: dict[str, typing.Any]
-
-
-@dataclasses.dataclass(frozen=True)
-class ConfigChange:
-    """One change that an operator publishes.
-
-    :param change_id: UUID text; the same id marks a repeated append.
-    :param author: who publishes the change.
-    :param at_ms: Unix ms by the author's clock, for the audit only.
-    :param name: of the profile, service, domain, instance or fingerprint.
-    :param expected_version: offset of the change that this one replaces; 0
-        for an item without one.
-    :param body: the validated body for ``kind``.
-    """
-
-    change_id: str
-    author: str
-    at_ms: int
-    kind: Kind
-    name: str
-    expected_version: int
-    body: Body
-
-    def body_members(self) -> dict[str, typing.Any]:
-        """Return the members that the author set, as JSON values."""
-        return self.body.model_dump(mode='json', exclude_unset=True)
-
-
-def canonical_json(value: typing.Any) -> bytes:
-    """Return ``value`` as JSON bytes, equal for equal values.
-
-    :raises ValueError: for NaN and infinities.
-    """
-    return json.dumps(
-        value, sort_keys=True, separators=(',', ':'), allow_nan=False
-    ).encode()
-
-
-def encode_change(change: ConfigChange) -> bytes:
-    """Return the record of a change, ready to append to ``config``."""
-    return canonical_json(
-        {
-            'change_id': change.change_id,
-            'author': change.author,
-            'at': change.at_ms,
-            'kind': change.kind.value,
-            'name': change.name,
-            'expected_version': change.expected_version,
-            'body': change.body_members(),
-        }
-    )
-
-
-def parse_change(
-    data: bytes,
-) -> result.Result[ConfigChange, errors.RecordError]:
-    """Parse a record of any kind but ``checkpoint``.
-
-    :param data: the bytes of one log record.
-    :return: the change, or :exc:`~errors.RecordError` that says what is
-        wrong with it.
-    """
-    if len(data) > MAX_CHANGE_BYTES:
-        return _record_failure(
-            f'change has {len(data)} bytes, more than {MAX_CHANGE_BYTES}'
-        )
-    try:
-        model = ChangeModel.model_validate_json(data)
-        if model.kind not in BODY_MODELS:
-            return _record_failure(f'{model.kind} is not an operator change')
-        body = BODY_MODELS[model.kind].model_validate(model.body)
-        change = ConfigChange(
-            change_id=str(model.change_id),
-            author=model.author,
-            at_ms=model.at,
-            kind=model.kind,
-            name=model.name,
-            expected_version=model.expected_version,
-            body=body,
-        )
-        # Refuses NaN, which the state could not carry.
-        encode_change(change)
-    except ValueError as error:
-        return _record_failure(f'invalid change: {error}')
-    foreign = change.kind in (Kind.INSTANCE, Kind.LIFT_SUSPECT)
-    pattern = _FOREIGN_NAME if foreign else _NAME
-    if pattern.fullmatch(change.name) is None:
-        return _record_failure(f'invalid {change.kind} name {change.name!r}')
-    return result.Success(change)
-
-
-def _record_failure(message: str) -> result.Failure[errors.RecordError]:
-    return result.Failure(errors.RecordError(message))
-
 
 @dataclasses.dataclass(frozen=True)
 class Item:
@@ -182,13 +40,13 @@
     """
 
     version: int
-    change: ConfigChange
+    change: changes.ConfigChange
 
     @functools.cached_property
     def encoded(self) -> bytes:
         """The item as a JSON list, as checkpoints hold it."""
         change = self.change
-        return canonical_json(
+        return changes.canonical_json(
             [
                 self.version,
                 change.kind.value,
@@ -207,7 +65,7 @@
     ) -> result.Result['Item', errors.RecordError]:
         """Return the item of a decoded :attr:`encoded`."""
         version, kind, name, change_id, author, at, expected, body = members
-        data = canonical_json(
+        data = changes.canonical_json(
             {
                 'change_id': change_id,
                 'author': author,
@@ -218,7 +76,9 @@
                 'body': body,
             }
         )
-        return parse_change(data).map(lambda change: cls(int(version), change))
+        return changes.parse_change(data).map(
+            lambda change: cls(int(version), change)
+        )
 
 
 class Verdict(enum.StrEnum):
@@ -253,7 +113,7 @@
     @functools.cached_property
     def encoded(self) -> bytes:
         """The entry as a JSON object, as checkpoints hold it."""
-        return canonical_json(dataclasses.asdict(self))
+        return changes.canonical_json(dataclasses.asdict(self))
 
 
 @dataclasses.dataclass(frozen=True)
@@ -261,7 +121,7 @@
     """The change is accepted; its offset is the item's new version."""
 
     offset: int
-    change: ConfigChange
+    change: changes.ConfigChange
     replaced: Item | None
 
 
@@ -273,7 +133,7 @@
     """
 
     offset: int
-    change: ConfigChange
+    change: changes.ConfigChange
     winner: Item | None
 
 
@@ -315,8 +175,8 @@
     """
 
     through: int = 0
-    items: dict[Kind, dict[str, Item]] = dataclasses.field(
-        default_factory=lambda: {kind: {} for kind in BODY_MODELS}
+    items: dict[changes.Kind, dict[str, Item]] = dataclasses.field(
+        default_factory=lambda: {kind: {} for kind in changes.BODY_MODELS}
     )
     seen: dict[str, int] = dataclasses.field(default_factory=dict)
     audit: collections.deque[AuditEntry] = dataclasses.field(
@@ -332,9 +192,9 @@
         self._hosts: dict[str, str] = {}
         self._sum = 0
         # Items that may be dropped, by the offset of their change.
-        self._spent: dict[int, tuple[Kind, str]] = {}
+        self._spent: dict[int, tuple[changes.Kind, str]] = {}
 
-    def version_of(self, kind: Kind, name: str) -> int:
+    def version_of(self, kind: changes.Kind, name: str) -> int:
         """Return the item's version, 0 before its first change."""
         item = self.items[kind].get(name)
         return 0 if item is None else item.version
@@ -387,7 +247,7 @@
         """Return the state as JSON, equal bytes for equal states."""
         items = b','.join(
             self.items[kind][name].encoded
-            for kind in BODY_MODELS
+            for kind in changes.BODY_MODELS
             for name in sorted(self.items[kind])
         )
         audit = b','.join(entry.encoded for entry in self.audit)
@@ -421,7 +281,7 @@
                 verdict = Verdict(entry['verdict'])
                 state._note(AuditEntry(**{**entry, 'verdict': verdict}))
         except (KeyError, TypeError, ValueError) as error:
-            return _record_failure(f'invalid state: {error!r}')
+            return changes.record_failure(f'invalid state: {error!r}')
         state._index_hosts()
         return result.Success(state)
 
@@ -433,16 +293,16 @@
         items[change.name] = item
         self._sum += _part(item.encoded)
         body = change.body
-        if change.kind is Kind.PROFILE:
+        if change.kind is changes.Kind.PROFILE:
             profile = profiles.Profile.from_model(change.name, body)
             self._profiles[change.name] = profile
-        elif change.kind is Kind.SERVICE:
+        elif change.kind is changes.Kind.SERVICE:
             service = profiles.Service.from_model(change.name, body)
             self._services[change.name] = service
-        elif change.kind is Kind.LIFT_SUSPECT:
+        elif change.kind is changes.Kind.LIFT_SUSPECT:
             self.lifted_suspects[change.name] = item.version
             self._spent[item.version] = (change.kind, change.name)
-        elif change.kind is Kind.DOMAIN:
+        elif change.kind is changes.Kind.DOMAIN:
             _set_member(self.domains_out, change.name, not body.in_service)
         else:
             _set_member(self.instances_out, change.name, not body.in_service)
@@ -533,19 +393,19 @@
 
 
 def check_change(
-    state: ConfigState, change: ConfigChange
-) -> result.Result[ConfigChange, errors.RecordError]:
+    state: ConfigState, change: changes.ConfigChange
+) -> result.Result[changes.ConfigChange, errors.RecordError]:
     """Check what the record of ``change`` would be refused for as invalid.
 
     The operator command calls this before it appends a change.
     """
-    if change.kind is Kind.SERVICE:
+    if change.kind is changes.Kind.SERVICE:
         profile = change.body.profile
-        if profile not in state.items[Kind.PROFILE]:
-            return _record_failure(
+        if profile not in state.items[changes.Kind.PROFILE]:
+            return changes.record_failure(
                 f'service {change.name!r} names unknown profile {profile!r}'
             )
-    return parse_change(encode_change(change))
+    return changes.parse_change(changes.encode_change(change))
 
 
 def apply_record(
@@ -577,7 +437,7 @@
         if matches:
             return Ignored(offset, IgnoredReason.CHECKPOINT)
         return Ignored(offset, IgnoredReason.CHECKPOINT_MISMATCH)
-    parsed = parse_change(record)
+    parsed = changes.parse_change(record)
     state._advance(offset)
     if isinstance(parsed, result.Failure):
         # The text of the parser's error stays out of the state, since it
@@ -592,7 +452,7 @@
 
 
 def _apply_change(
-    state: ConfigState, offset: int, change: ConfigChange
+    state: ConfigState, offset: int, change: changes.ConfigChange
 ) -> Applied | Rejected | Ignored:
     if change.change_id in state.seen:
         return Ignored(offset, IgnoredReason.REPEATED, change.change_id)
@@ -611,7 +471,7 @@
             checked.failure().message,
         )
     state._put(Item(offset, change))
-    if change.kind is Kind.SERVICE:
+    if change.kind is changes.Kind.SERVICE:
         state._index_hosts()
     _record_audit(state, offset, Verdict.ACCEPTED, change, current)
     return Applied(offset, change, current)
@@ -621,7 +481,7 @@
     state: ConfigState,
     offset: int,
     verdict: Verdict,
-    change: ConfigChange,
+    change: changes.ConfigChange,
     current: Item | None,
 ) -> None:
     state._note(
@@ -639,9 +499,9 @@
     )
 
 
-def _audit_body(change: ConfigChange) -> dict[str, typing.Any]:
+def _audit_body(change: changes.ConfigChange) -> dict[str, typing.Any]:
     members = change.body_members()
-    encoded = canonical_json(members)
+    encoded = changes.canonical_json(members)
     if len(encoded) <= AUDIT_BODY_BYTES:
         return members
     digest = hashlib.sha256(encoded).hexdigest()
@@ -668,7 +528,7 @@
         return None
     try:
         members = json.loads(record)
-        if members['kind'] != Kind.CHECKPOINT:
+        if members['kind'] != changes.Kind.CHECKPOINT:
             return None
         through = members['body']['through']
         digest = members['body']['digest']
--- a/packages/core/tests/test_checkpoints.py
+++ b/packages/core/tests/test_checkpoints.py
@@ -8,6 +8,7 @@
 import pytest
 from returns import pipeline
 
+from dragonflyslip_core import changes
 from dragonflyslip_core import checkpoints
 from dragonflyslip_core import config
 from dragonflyslip_core import models
@@ -16,12 +17,12 @@
 
 
 def profile_record(number, name, version, slots):
-    return config.encode_change(
-        config.ConfigChange(
+    return changes.encode_change(
+        changes.ConfigChange(
             str(uuid.UUID(int=number)),
             'ana',
             number,
-            config.Kind.PROFILE,
+            changes.Kind.PROFILE,
             name,
             version,
             models.ProfileModel(slots=slots),
@@ -93,7 +94,7 @@
         if slots is None:
             assert not pipeline.is_successful(started)
         else:
-            item = started.unwrap().items[config.Kind.PROFILE]['a']
+            item = started.unwrap().items[changes.Kind.PROFILE]['a']
             assert item.change.body.slots == slots
 
     def test_checkpoint_is_a_function_of_the_log(self):
@@ -351,7 +352,7 @@
     def check(self, state):
         held = {
             name: (item.version, item.change.body.slots)
-            for name, item in state.items[config.Kind.PROFILE].items()
+            for name, item in state.items[changes.Kind.PROFILE].items()
         }
         assert held == self.history[state.through]
         digest = self.digests.setdefault(state.through, state.digest())
--- a/packages/core/tests/test_claims.py
+++ b/packages/core/tests/test_claims.py
@@ -9,6 +9,7 @@
 from returns import pipeline
 
 from dragonflyslip_core import budgets
+from dragonflyslip_core import claim_batcher
 from dragonflyslip_core import claim_batches
 from dragonflyslip_core import claims
 from dragonflyslip_core import errors
@@ -41,7 +42,7 @@
 
 def make_batcher(entry='a', **options):
     bucket = budgets.TokenBucket(10.0, 10.0, tokens=10.0, updated_at=0.0)
-    return claims.ClaimBatcher(entry, bucket, **options)
+    return claim_batcher.ClaimBatcher(entry, bucket, **options)
 
 
 def fold(table, *records, at_s=WALL):
@@ -302,7 +303,7 @@
             outcome = 'unknown'
         if state == 'held':
             assert call.begin_send() and not call.begin_send()
-            call.state = claims.ClaimState.HELD
+            call.state = claim_batcher.ClaimState.HELD
         assert batcher.refuse(call).value == outcome
         assert not call.begin_send()
         # The holder that gave up lets the next claim win.
@@ -322,7 +323,7 @@
 
     def test_appends_stay_within_the_budget_and_are_then_grouped(self):
         bucket = budgets.TokenBucket(rate=8.0, burst=1.0)
-        batcher = claims.ClaimBatcher('a', bucket, max_appends=2)
+        batcher = claim_batcher.ClaimBatcher('a', bucket, max_appends=2)
         sizes = {}
         for step in range(128):
             now = step / 64
@@ -359,7 +360,7 @@
         table.floor_s = WALL + 1
         batcher.forget(table)
         assert not batcher.calls and not batcher.releases
-        assert call.state is claims.ClaimState.ABANDONED
+        assert call.state is claim_batcher.ClaimState.ABANDONED
 
 
 LIFETIMES = (600.0, 2_400.0)
@@ -398,7 +399,7 @@
         entry = types.SimpleNamespace(
             name=name,
             skew=skew,
-            batcher=claims.ClaimBatcher(name, bucket),
+            batcher=claim_batcher.ClaimBatcher(name, bucket),
             table=claims.ClaimTable.from_log(
                 self.first, self.wall + skew, LOG_RETENTION_S
             ),
--- a/packages/core/tests/test_config.py
+++ b/packages/core/tests/test_config.py
@@ -6,32 +6,33 @@
 import pytest
 from returns import pipeline
 
+from dragonflyslip_core import changes
 from dragonflyslip_core import config
 from dragonflyslip_core import models
 from dragonflyslip_core import targets
 
 
 def change(number, kind, name, version, **body):
-    return config.ConfigChange(
+    return changes.ConfigChange(
         change_id=str(uuid.UUID(int=number)),
         author='ana',
         at_ms=number,
-        kind=config.Kind(kind),
+        kind=changes.Kind(kind),
         name=name,
         expected_version=version,
-        body=config.BODY_MODELS[config.Kind(kind)](**body),
+        body=changes.BODY_MODELS[changes.Kind(kind)](**body),
     )
 
 
-def fold(*changes):
+def fold(*records):
     state = config.ConfigState()
     results = [
         config.apply_record(
             state,
             offset,
-            item if type(item) is bytes else config.encode_change(item),
+            item if type(item) is bytes else changes.encode_change(item),
         )
-        for offset, item in enumerate(changes, start=1)
+        for offset, item in enumerate(records, start=1)
     ]
     return state, results
 
@@ -65,7 +66,9 @@
     def test_second_record(self, second, expected, slots):
         state, (_, applied) = fold(P1, second)
         assert outcome_of(applied) == expected
-        assert state.items[config.Kind.PROFILE]['p'].change.body.slots == slots
+        assert (
+            state.items[changes.Kind.PROFILE]['p'].change.body.slots == slots
+        )
         assert state.through == 2
 
     def test_loser_learns_the_change_that_won(self):
@@ -83,7 +86,7 @@
     def test_missing_records_are_an_error_and_change_nothing(self):
         state, _ = fold(P1)
         with pytest.raises(config.errors.RecordError):
-            config.apply_record(state, 3, config.encode_change(P1))
+            config.apply_record(state, 3, changes.encode_change(P1))
         assert state.through == 1
 
     def test_forgotten_change_id_cannot_revert_an_item(self, monkeypatch):
@@ -92,7 +95,7 @@
         state, results = fold(P1, newer, b'', b'', P1)
         assert outcome_of(results[4]) == 'Rejected'
         assert list(state.seen.values()) == [5]
-        assert state.version_of(config.Kind.PROFILE, 'p') == 2
+        assert state.version_of(changes.Kind.PROFILE, 'p') == 2
 
     def test_items_without_effect_are_dropped(self, monkeypatch):
         # Instance ids are used once: keeping them all would let the state
@@ -107,7 +110,7 @@
         before = state.digest()
         for offset in range(5, 9):
             config.apply_record(state, offset, b'')
-        assert set(state.items[config.Kind.INSTANCE]) == {'out'}
+        assert set(state.items[changes.Kind.INSTANCE]) == {'out'}
         assert state.lifted_suspects == state.seen == {}
         assert state.instances_out == {'out'}
         assert state.digest() != before
@@ -130,9 +133,9 @@
         ],
     )
     def test_malformed_member_is_invalid(self, member):
-        members = json.loads(config.encode_change(P1)) | member
+        members = json.loads(changes.encode_change(P1)) | member
         data = json.dumps(members).encode()
-        assert not pipeline.is_successful(config.parse_change(data))
+        assert not pipeline.is_successful(changes.parse_change(data))
 
     def test_audit_tells_who_changed_what_and_is_bounded(self):
         hosts = ('h' * 3_000,)
@@ -198,5 +201,5 @@
         bad = change(9, 'service', 'c', 0, profile='none')
         assert not pipeline.is_successful(config.check_change(self.STATE, bad))
         body = models.ServiceModel(profile='p')
-        good = config.ConfigChange('0' * 32, 'x', 1, bad.kind, 'c', 0, body)
+        good = changes.ConfigChange('0' * 32, 'x', 1, bad.kind, 'c', 0, body)
         assert pipeline.is_successful(config.check_change(self.STATE, good))
--- a/packages/entry/src/dragonflyslip_entry/claim_controller.py
+++ b/packages/entry/src/dragonflyslip_entry/claim_controller.py
@@ -7,6 +7,7 @@
 
 from dragonflyslip_core import blackboard
 from dragonflyslip_core import budgets
+from dragonflyslip_core import claim_batcher
 from dragonflyslip_core import claims
 import dragonflyslip_platform as platform
 
@@ -44,7 +45,7 @@
         self.clock = clock
         self.loop = asyncio.get_running_loop()
         self.table: claims.ClaimTable | None = None
-        self.batcher = claims.ClaimBatcher(
+        self.batcher = claim_batcher.ClaimBatcher(
             str(board.membership.own), budgets.TokenBucket(0.0, 4.0)
         )
         self.caught_up = asyncio.Event()
@@ -75,7 +76,7 @@
         key: claims.Key,
         fingerprint: bytes,
         first_attempt: bool,
-    ) -> claims.CallClaim | None:
+    ) -> claim_batcher.CallClaim | None:
         """Append a claim and wait for its verdict.
 
         The caller sets the time limit; a claim that is given up is passed
@@ -100,7 +101,7 @@
             self._decided.pop(call.record.claim_id, None)
         return call
 
-    def release(self, call: claims.CallClaim) -> None:
+    def release(self, call: claim_batcher.CallClaim) -> None:
         """Give up a held claim whose call was not run."""
         self.batcher.release(call)
         self._submitted.set()
@@ -164,7 +165,7 @@
             except TimeoutError:
                 pass
 
-    async def _append(self, batch: claims.Batch) -> None:
+    async def _append(self, batch: claim_batcher.Batch) -> None:
         self.board.count('claim_appends')
         self.board.count('claims', len(batch.records))
         match await self.log.append(STREAM, batch.data):
--- a/packages/entry/src/dragonflyslip_entry/claimed_calls.py
+++ b/packages/entry/src/dragonflyslip_entry/claimed_calls.py
@@ -6,7 +6,7 @@
 from returns import result
 
 from dragonflyslip_core import answers
-from dragonflyslip_core import claims
+from dragonflyslip_core import claim_batcher
 from dragonflyslip_core import outcomes
 from dragonflyslip_entry import attempts
 from dragonflyslip_entry import calls
@@ -39,7 +39,7 @@
         self,
         request: web.BaseRequest,
         call: calls.Call,
-        claim: claims.CallClaim,
+        claim: claim_batcher.CallClaim,
     ) -> keyed_calls.Ran:
         """Send a call whose claim is held.
 
@@ -66,7 +66,7 @@
         self,
         request: web.BaseRequest,
         call: calls.Call,
-        claim: claims.CallClaim,
+        claim: claim_batcher.CallClaim,
         moving: progress.Progress,
     ) -> keyed_calls.Ran:
         body = None
@@ -93,7 +93,7 @@
     async def _send_once(
         self,
         call: calls.Call,
-        claim: claims.CallClaim,
+        claim: claim_batcher.CallClaim,
         body: progress.CallerBody | None,
     ) -> attempts.Sent | outcomes.Refusal:
         excluded: set[str] = set()
@@ -149,11 +149,11 @@
         kept = headers.forwarded_response_headers(response.headers)
         return answers.Answer(response.status, tuple(kept.items()), head)
 
-    def _give_up(self, claim: claims.CallClaim) -> outcomes.Outcome:
-        if claim.state is claims.ClaimState.HELD:
+    def _give_up(self, claim: claim_batcher.CallClaim) -> outcomes.Outcome:
+        if claim.state is claim_batcher.ClaimState.HELD:
             return self._release(claim)
         return outcomes.Outcome.UNKNOWN
 
-    def _release(self, claim: claims.CallClaim) -> outcomes.Outcome:
+    def _release(self, claim: claim_batcher.CallClaim) -> outcomes.Outcome:
         self.claiming.release(claim)
         return outcomes.Outcome.NOT_RUN
--- a/packages/entry/src/dragonflyslip_entry/keyed_calls.py
+++ b/packages/entry/src/dragonflyslip_entry/keyed_calls.py
@@ -7,6 +7,7 @@
 from returns import result
 
 from dragonflyslip_core import answers
+from dragonflyslip_core import claim_batcher
 from dragonflyslip_core import claims
 from dragonflyslip_core import outcomes
 from dragonflyslip_core import suspects
@@ -21,7 +22,7 @@
 # Sends a call whose claim is held and returns the response or a refusal;
 # the claim is marked as sent in the step of the write.
 Run = collections.abc.Callable[
-    [claims.CallClaim], collections.abc.Awaitable['Ran']
+    [claim_batcher.CallClaim], collections.abc.Awaitable['Ran']
 ]
 Ran = answers.Answer | outcomes.Refusal | None
 
@@ -104,7 +105,7 @@
             claim = await self._claim(call, key, fingerprint)
             if isinstance(claim, outcomes.Refusal):
                 return claim
-            if claim.state is claims.ClaimState.HELD:
+            if claim.state is claim_batcher.ClaimState.HELD:
                 answer = await run(claim)
                 return answer
         finally:
@@ -120,7 +121,7 @@
 
     async def _claim(
         self, call: calls.Call, key: claims.Key, fingerprint: bytes
-    ) -> claims.CallClaim | outcomes.Refusal:
+    ) -> claim_batcher.CallClaim | outcomes.Refusal:
         try:
             async with asyncio.timeout_at(call.deadline_at):
                 claim = await self.claiming.claim(
--- a/packages/entry/src/dragonflyslip_entry/proxy.py
+++ b/packages/entry/src/dragonflyslip_entry/proxy.py
@@ -9,7 +9,7 @@
 
 from dragonflyslip_core import answers
 from dragonflyslip_core import blackboard
-from dragonflyslip_core import claims
+from dragonflyslip_core import claim_batcher
 from dragonflyslip_core import outcomes
 from dragonflyslip_core import retries
 from dragonflyslip_entry import calls
@@ -148,7 +148,7 @@
     ) -> web.StreamResponse | outcomes.Refusal:
         ran_here = False
 
-        async def run(claim: claims.CallClaim) -> keyed_calls.Ran:
+        async def run(claim: claim_batcher.CallClaim) -> keyed_calls.Ran:
             nonlocal ran_here
             ran_here = True
             return await self.claimed.run(request, call, claim)
--- a/packages/entry/tests/conftest.py
+++ b/packages/entry/tests/conftest.py
@@ -11,7 +11,7 @@
 import pytest
 import yarl
 
-from dragonflyslip_core import config
+from dragonflyslip_core import changes
 from dragonflyslip_core import membership
 from dragonflyslip_core import models
 from dragonflyslip_core import shares
@@ -86,9 +86,9 @@
         )
 
     async def publish(
-        self, kind: config.Kind, name: str, body, version: int = 0
+        self, kind: changes.Kind, name: str, body, version: int = 0
     ) -> None:
-        change = config.ConfigChange(
+        change = changes.ConfigChange(
             str(uuid.uuid4()),
             'tests',
             int(time.time() * 1000),
@@ -97,15 +97,15 @@
             version,
             body,
         )
-        await self.log.append('config', config.encode_change(change))
+        await self.log.append('config', changes.encode_change(change))
 
     async def publish_service(self, service: str, **profile) -> None:
         profile = {'warmup_s': 0.1, 'probe_rate_per_target': 50, **profile}
         await self.publish(
-            config.Kind.PROFILE, service, models.ProfileModel(**profile)
+            changes.Kind.PROFILE, service, models.ProfileModel(**profile)
         )
         await self.publish(
-            config.Kind.SERVICE, service, models.ServiceModel(profile=service)
+            changes.Kind.SERVICE, service, models.ServiceModel(profile=service)
         )
 
     async def add_entry(self, name: str, **options) -> str:
--- a/packages/entry/tests/test_faults.py
+++ b/packages/entry/tests/test_faults.py
@@ -6,7 +6,7 @@
 import aiohttp
 import pytest
 
-from dragonflyslip_core import config
+from dragonflyslip_core import changes
 from dragonflyslip_core import models
 from dragonflyslip_core import targets
 from dragonflyslip_entry import http_connection
@@ -77,8 +77,8 @@
         [
             'list',
             'report',
-            (config.Kind.DOMAIN, 'far'),
-            (config.Kind.INSTANCE, 'casebook-1'),
+            (changes.Kind.DOMAIN, 'far'),
+            (changes.Kind.INSTANCE, 'casebook-1'),
         ],
     )
     async def test_withdrawn_target_gets_no_new_work(self, path, how):
@@ -187,7 +187,7 @@
         suspects = path.entries['entry-1'].suspects()['suspects']
         assert len(suspects) == 1
         await path.publish(
-            config.Kind.LIFT_SUSPECT,
+            changes.Kind.LIFT_SUSPECT,
             suspects[0]['fingerprint'],
             models.LiftSuspectModel(),
         )
@@ -243,7 +243,7 @@
             running.dispatcher.may_serve = lambda now: False
         else:
             await path.publish(
-                config.Kind.INSTANCE,
+                changes.Kind.INSTANCE,
                 'casebook-1',
                 models.InServiceModel(in_service=False),
             )
--- a/packages/operator/src/dragonflyslip_operator/commands/profiles.py
+++ b/packages/operator/src/dragonflyslip_operator/commands/profiles.py
@@ -7,6 +7,7 @@
 
 import pydantic
 
+from dragonflyslip_core import changes
 from dragonflyslip_core import config
 from dragonflyslip_core import models
 from dragonflyslip_core import profiles
@@ -15,7 +16,7 @@
 from dragonflyslip_operator import output
 from dragonflyslip_operator import parsing
 
-_KIND = config.Kind.PROFILE
+_KIND = changes.Kind.PROFILE
 
 
 def add_parsers(group: parsing.CommandGroup) -> None:
--- a/packages/operator/src/dragonflyslip_operator/commands/services.py
+++ b/packages/operator/src/dragonflyslip_operator/commands/services.py
@@ -2,14 +2,14 @@
 
 import pydantic
 
-from dragonflyslip_core import config
+from dragonflyslip_core import changes
 from dragonflyslip_core import models
 from dragonflyslip_operator import context as contexts
 from dragonflyslip_operator import errors
 from dragonflyslip_operator import output
 from dragonflyslip_operator import parsing
 
-_KIND = config.Kind.SERVICE
+_KIND = changes.Kind.SERVICE
 
 
 def add_parsers(group: parsing.CommandGroup) -> None:
--- a/packages/operator/src/dragonflyslip_operator/commands/status.py
+++ b/packages/operator/src/dragonflyslip_operator/commands/status.py
@@ -4,6 +4,7 @@
 
 from returns import result
 
+from dragonflyslip_core import changes
 from dragonflyslip_core import config
 from dragonflyslip_operator import context as contexts
 from dragonflyslip_operator import entries
@@ -115,7 +116,7 @@
             'at': output.format_time(item.change.at_ms),
             'reason': item.change.body.reason,
         }
-        for kind in (config.Kind.DOMAIN, config.Kind.INSTANCE)
+        for kind in (changes.Kind.DOMAIN, changes.Kind.INSTANCE)
         for name, item in sorted(state.items[kind].items())
         if not item.change.body.in_service
     ]
--- a/packages/operator/src/dragonflyslip_operator/commands/suspects.py
+++ b/packages/operator/src/dragonflyslip_operator/commands/suspects.py
@@ -3,7 +3,7 @@
 import pydantic
 from returns import result
 
-from dragonflyslip_core import config
+from dragonflyslip_core import changes
 from dragonflyslip_core import models
 from dragonflyslip_operator import context as contexts
 from dragonflyslip_operator import entries
@@ -76,4 +76,4 @@
             ['--reason: allowed are up to 500 characters']
         ) from error
     await context.read_config()
-    await context.publish(config.Kind.LIFT_SUSPECT, arguments.name, model)
+    await context.publish(changes.Kind.LIFT_SUSPECT, arguments.name, model)
--- a/packages/operator/src/dragonflyslip_operator/commands/switches.py
+++ b/packages/operator/src/dragonflyslip_operator/commands/switches.py
@@ -3,7 +3,7 @@
 import pydantic
 from returns import result
 
-from dragonflyslip_core import config
+from dragonflyslip_core import changes
 from dragonflyslip_core import models
 from dragonflyslip_operator import context as contexts
 from dragonflyslip_operator import errors
@@ -11,16 +11,16 @@
 from dragonflyslip_operator import parsing
 
 _EXAMPLES = {
-    config.Kind.DOMAIN: 'scot-central-b',
-    config.Kind.INSTANCE: 'casebook-7',
+    changes.Kind.DOMAIN: 'scot-central-b',
+    changes.Kind.INSTANCE: 'casebook-7',
 }
 
 
 def add_parsers(group: parsing.CommandGroup) -> None:
     """Add the commands of ``domain`` and ``instance``."""
     for kind, noun, article in (
-        (config.Kind.DOMAIN, 'failure domain', 'a'),
-        (config.Kind.INSTANCE, 'instance', 'an'),
+        (changes.Kind.DOMAIN, 'failure domain', 'a'),
+        (changes.Kind.INSTANCE, 'instance', 'an'),
     ):
         switches = group.add_group(
             kind.value,
@@ -39,7 +39,7 @@
             )
             parser.add_argument(
                 'name',
-                metavar='NAME' if kind is config.Kind.DOMAIN else 'ID',
+                metavar='NAME' if kind is changes.Kind.DOMAIN else 'ID',
             )
             parsing.add_reason(parser)
             parser.set_defaults(kind=kind, in_service=in_service)
@@ -70,7 +70,7 @@
             arguments = context.arguments
             names = {
                 row.failure_domain
-                if arguments.kind is config.Kind.DOMAIN
+                if arguments.kind is changes.Kind.DOMAIN
                 else row.instance_id
                 for row in rows
             }
--- a/packages/operator/src/dragonflyslip_operator/config_reader.py
+++ b/packages/operator/src/dragonflyslip_operator/config_reader.py
@@ -2,6 +2,7 @@
 
 from returns import result
 
+from dragonflyslip_core import changes
 from dragonflyslip_core import checkpoints
 from dragonflyslip_core import config
 from dragonflyslip_core import errors as core_errors
@@ -153,12 +154,12 @@
         if audit and audit[-1].offset == record.offset:
             self.history.append(audit[-1])
 
-    def item(self, kind: config.Kind, name: str) -> config.Item | None:
+    def item(self, kind: changes.Kind, name: str) -> config.Item | None:
         """Return the change in force for an item, if it has one."""
         return self.state.items[kind].get(name)
 
     def version_body(
-        self, kind: config.Kind, name: str, version: int
+        self, kind: changes.Kind, name: str, version: int
     ) -> result.Result[dict[str, object], errors.NotFoundError]:
         """Return the body that an item had at one of its versions.
 
--- a/packages/operator/src/dragonflyslip_operator/context.py
+++ b/packages/operator/src/dragonflyslip_operator/context.py
@@ -5,6 +5,7 @@
 
 from returns import result
 
+from dragonflyslip_core import changes
 from dragonflyslip_core import config
 from dragonflyslip_core import errors as core_errors
 from dragonflyslip_operator import clock as clocks
@@ -80,7 +81,7 @@
         return value_of(await entries.list_entries(self.instances))
 
     async def publish(
-        self, kind: config.Kind, name: str, body: config.Body
+        self, kind: changes.Kind, name: str, body: changes.Body
     ) -> None:
         """Publish a change, print it, and wait for it with ``--wait``.
 
--- a/packages/operator/src/dragonflyslip_operator/publisher.py
+++ b/packages/operator/src/dragonflyslip_operator/publisher.py
@@ -4,6 +4,7 @@
 
 from returns import result
 
+from dragonflyslip_core import changes
 from dragonflyslip_core import config
 from dragonflyslip_core import errors as core_errors
 from dragonflyslip_operator import clock as clocks
@@ -44,9 +45,9 @@
 
     async def publish(
         self,
-        kind: config.Kind,
+        kind: changes.Kind,
         name: str,
-        body: config.Body,
+        body: changes.Body,
         expected_version: int | None = None,
     ) -> PublishResult:
         """Publish a change that replaces what the reader has read.
@@ -65,7 +66,7 @@
             return result.Failure(
                 _race_lost(kind, name, expected_version, item)
             )
-        change = config.ConfigChange(
+        change = changes.ConfigChange(
             change_id=str(uuid.uuid4()),
             author=self.author,
             at_ms=int(self.clock.wall() * 1000),
@@ -81,8 +82,8 @@
             )
         return await self._append(change)
 
-    async def _append(self, change: config.ConfigChange) -> PublishResult:
-        data = config.encode_change(change)
+    async def _append(self, change: changes.ConfigChange) -> PublishResult:
+        data = changes.encode_change(change)
         deadline = self.clock.now() + self.timeout_s
         repeat_at = None
         appended = await self.log.append(config_reader.STREAM, data)
@@ -111,7 +112,7 @@
 
 
 def _judge(
-    change: config.ConfigChange,
+    change: changes.ConfigChange,
     outcome: config.Applied | config.Rejected | config.Ignored,
 ) -> PublishResult:
     match outcome:
@@ -127,7 +128,7 @@
 
 
 def _race_lost(
-    kind: config.Kind,
+    kind: changes.Kind,
     name: str,
     expected_version: int,
     winner: config.Item | None,
@@ -152,7 +153,7 @@
 
 
 def _uncertain(
-    change: config.ConfigChange, appended: platform.log.AppendResult
+    change: changes.ConfigChange, appended: platform.log.AppendResult
 ) -> errors.UncertainError:
     match appended:
         case result.Success(offset):
--- a/packages/testing/src/dragonflyslip_testing/demo.py
+++ b/packages/testing/src/dragonflyslip_testing/demo.py
@@ -15,7 +15,7 @@
 from aiohttp import web
 import uvloop
 
-from dragonflyslip_core import config
+from dragonflyslip_core import changes
 from dragonflyslip_core import models
 from dragonflyslip_core import targets
 import dragonflyslip_entry as entry
@@ -89,10 +89,10 @@
         )
 
     async def publish(
-        self, kind: config.Kind, name: str, body, version: int
+        self, kind: changes.Kind, name: str, body, version: int
     ) -> int:
         """Publish a change and return its offset."""
-        change = config.ConfigChange(
+        change = changes.ConfigChange(
             str(uuid.uuid4()),
             'demo',
             int(time.time() * 1000),
@@ -102,7 +102,7 @@
             body,
         )
         appended = await self.log.append(
-            'config', config.encode_change(change)
+            'config', changes.encode_change(change)
         )
         return appended.unwrap()
 
@@ -164,9 +164,9 @@
         )
         await demo.start_targets()
         profile = models.ProfileModel(warmup_s=1.0)
-        version = await demo.publish(config.Kind.PROFILE, 'demo', profile, 0)
+        version = await demo.publish(changes.Kind.PROFILE, 'demo', profile, 0)
         await demo.publish(
-            config.Kind.SERVICE,
+            changes.Kind.SERVICE,
             _SERVICE,
             models.ServiceModel(profile='demo'),
             0,
@@ -187,7 +187,7 @@
         await _until_posted(session, f'{demo.url}/form', 400)
         print('a POST without Idempotency-Key is refused with 400')
         await demo.publish(
-            config.Kind.PROFILE,
+            changes.Kind.PROFILE,
             'demo',
             models.ProfileModel(warmup_s=1.0, missing_key='run_once'),
             version,
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -268,7 +268,7 @@
     ),
     Mutation(
         'single-send',
-        f'{_CORE}/claims.py',
+        f'{_CORE}/claim_batcher.py',
         '        self.state = ClaimState.SENT\n',
         '',
         f'{_CORE_TESTS}/test_claims.py::TestClaimBatcher',
@@ -283,7 +283,7 @@
     Mutation(
         'release-after-send',
         f'{_ENTRY}/claimed_calls.py',
-        'if claim.state is claims.ClaimState.HELD:',
+        'if claim.state is claim_batcher.ClaimState.HELD:',
         'if True:',
         f'{_ENTRY_TESTS}/test_keyed_calls.py::TestRefusals',
     ),
