Import only what a gateway needs when it starts

Change: dragonflyslip_core and dragonflyslip_entry import a module when one of its names is first used; the settings of the two kinds of entry, the names, the facts of targets and the problem responses have modules of their own; the build compiles the packages; no garbage is collected during the imports, and what they made is left out of later collections; a gateway without TLS does not parse the trusted certificates.

Ruled out: the time between "gateway starts" and the manifest (33 ms); python -S (no gain).

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -12,6 +12,7 @@
 
 from dragonflyslip_core import membership
 from dragonflyslip_core import shares
+from dragonflyslip_core import target_facts
 from dragonflyslip_core import warmup
 from dragonflyslip_testing import fleet
 import dragonflyslip_wire as wire
@@ -49,7 +50,9 @@
         config_digest=bytes(range(100, 116)),
         log_read_age_s=0.137,
         targets=tuple(
-            warmup.TargetFact(f'casebook-{n:02d}', f'b{n:07x}', True, 0, 0.21)
+            target_facts.TargetFact(
+                f'casebook-{n:02d}', f'b{n:07x}', True, 0, 0.21
+            )
             for n in range(facts)
         ),
     )
--- a/bench/slopes_objects.py
+++ b/bench/slopes_objects.py
@@ -31,8 +31,8 @@
 from dragonflyslip_core import membership
 from dragonflyslip_core import models
 from dragonflyslip_core import profiles
+from dragonflyslip_core import target_facts
 from dragonflyslip_core import targets
-from dragonflyslip_core import warmup
 import dragonflyslip_entry as entry
 from dragonflyslip_entry import http_connection
 from dragonflyslip_entry import peer_links
@@ -421,7 +421,9 @@
 
 def _beat(number: int, sequence: int, facts: int) -> bytes:
     known = tuple(
-        warmup.TargetFact(f'target-{n:05d}', f'boot-{n:06d}', True, 0, 1.5)
+        target_facts.TargetFact(
+            f'target-{n:05d}', f'boot-{n:06d}', True, 0, 1.5
+        )
         for n in range(facts)
     )
     report = membership.MemberReport(
--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -12,3 +12,5 @@
 fi
 rm -rf "$deps"/dragonflyslip_*
 cp -R packages/*/src/dragonflyslip_* platform/src/dragonflyslip_* "$deps"
+# Processes may not write below target/, so each start would compile anew.
+python3 -m compileall -q "$deps"/dragonflyslip_*
--- a/packages/core/src/dragonflyslip_core/__init__.py
+++ b/packages/core/src/dragonflyslip_core/__init__.py
@@ -3,168 +3,254 @@
 The public names of all modules are exported here. Nothing in this package
 opens a socket or reads a clock; the present time is an argument.
 
+>>> from dragonflyslip_core import TokenBucket
 >>> bucket = TokenBucket(rate=10.0, burst=1.0)
 >>> bucket.take(1.0, now=0.0), bucket.take(1.0, now=0.1)
 (False, True)
 """
 
-from dragonflyslip_core.admission import hedge_delay_s
-from dragonflyslip_core.admission import is_worth_sending
-from dragonflyslip_core.admission import Prospect
-from dragonflyslip_core.admission import retry_after_s
-from dragonflyslip_core.admission import RouteLoad
-from dragonflyslip_core.answers import Answer as StoredResponse
-from dragonflyslip_core.answers import AnswerStore
-from dragonflyslip_core.answers import Mismatch
-from dragonflyslip_core.answers import RunningCall
-from dragonflyslip_core.answers import StoredAnswer
-from dragonflyslip_core.blackboard import Blackboard
-from dragonflyslip_core.budgets import TokenBucket
-from dragonflyslip_core.changes import ConfigChange
-from dragonflyslip_core.changes import encode_change
-from dragonflyslip_core.changes import Kind
-from dragonflyslip_core.changes import parse_change
-from dragonflyslip_core.checkpoints import adopt_snapshot
-from dragonflyslip_core.checkpoints import bootstrap
-from dragonflyslip_core.checkpoints import CheckpointSchedule
-from dragonflyslip_core.checkpoints import load_checkpoint
-from dragonflyslip_core.checkpoints import LogRecord
-from dragonflyslip_core.checkpoints import make_checkpoint
-from dragonflyslip_core.claim_batcher import Batch
-from dragonflyslip_core.claim_batcher import CallClaim
-from dragonflyslip_core.claim_batcher import ClaimBatcher
-from dragonflyslip_core.claim_batcher import ClaimState
-from dragonflyslip_core.claim_batches import decode_batch
-from dragonflyslip_core.claim_batches import encode_batch
-from dragonflyslip_core.claims import apply_claim_record
-from dragonflyslip_core.claims import ClaimRecord
-from dragonflyslip_core.claims import ClaimTable
-from dragonflyslip_core.claims import ClaimVerdict
-from dragonflyslip_core.claims import Holder
-from dragonflyslip_core.claims import Key
-from dragonflyslip_core.claims import KeyClaims
-from dragonflyslip_core.claims import parse_key
-from dragonflyslip_core.claims import ReleaseRecord
-from dragonflyslip_core.claims import ReleaseSeen
-from dragonflyslip_core.config import Applied
-from dragonflyslip_core.config import apply_record
-from dragonflyslip_core.config import AuditEntry
-from dragonflyslip_core.config import check_change
-from dragonflyslip_core.config import CheckpointHeader
-from dragonflyslip_core.config import ConfigState
-from dragonflyslip_core.config import Ignored
-from dragonflyslip_core.config import IgnoredReason
-from dragonflyslip_core.config import Item
-from dragonflyslip_core.config import read_checkpoint_header
-from dragonflyslip_core.config import Rejected
-from dragonflyslip_core.config import Verdict
-from dragonflyslip_core.connections import Closures
-from dragonflyslip_core.connections import ConnectionRules
-from dragonflyslip_core.connections import Open
-from dragonflyslip_core.connections import Reuse
-from dragonflyslip_core.connections import Wait
-from dragonflyslip_core.default_policy import DefaultPolicy
-from dragonflyslip_core.directory import Directory
-from dragonflyslip_core.directory import RegisteredTarget
-from dragonflyslip_core.directory import Registration
-from dragonflyslip_core.domains import DomainSplit
-from dragonflyslip_core.domains import in_service
-from dragonflyslip_core.domains import spare_capacity
-from dragonflyslip_core.domains import utilisation
-from dragonflyslip_core.errors import CoreError
-from dragonflyslip_core.errors import HeaderError
-from dragonflyslip_core.errors import KeyFormatError
-from dragonflyslip_core.errors import RecordError
-from dragonflyslip_core.errors import RoutingError
-from dragonflyslip_core.errors import ValidationError
-from dragonflyslip_core.freshness import Freshness
-from dragonflyslip_core.freshness import FreshnessState
-from dragonflyslip_core.health import Answer
-from dragonflyslip_core.health import HealthySelection
-from dragonflyslip_core.health import LatencyMedian
-from dragonflyslip_core.health import looks_healthy
-from dragonflyslip_core.health import record_answer
-from dragonflyslip_core.health import record_report
-from dragonflyslip_core.health import record_sent
-from dragonflyslip_core.health import select_healthy
-from dragonflyslip_core.limits import AdaptiveLimit
-from dragonflyslip_core.limits import Admission
-from dragonflyslip_core.limits import AdmissionQueue
-from dragonflyslip_core.limits import DEADLINE_HEADER
-from dragonflyslip_core.limits import parse_deadline
-from dragonflyslip_core.limits import ShedCall
-from dragonflyslip_core.limits import ShedReason
-from dragonflyslip_core.limits import WaitingCall
-from dragonflyslip_core.manifest import CallerLimits
-from dragonflyslip_core.manifest import Manifest
-from dragonflyslip_core.manifest import Route
-from dragonflyslip_core.manifest import RouteKind
-from dragonflyslip_core.manifest import ServiceRules
-from dragonflyslip_core.manifest import WeightedService
-from dragonflyslip_core.membership import Agreement
-from dragonflyslip_core.membership import EntryId
-from dragonflyslip_core.membership import HEARTBEAT_S
-from dragonflyslip_core.membership import Member
-from dragonflyslip_core.membership import MemberReport
-from dragonflyslip_core.membership import Membership
-from dragonflyslip_core.membership import MembershipView
-from dragonflyslip_core.membership import view_digest
-from dragonflyslip_core.models import InServiceModel
-from dragonflyslip_core.models import LiftSuspectModel
-from dragonflyslip_core.models import ProfileModel
-from dragonflyslip_core.models import ServiceModel
-from dragonflyslip_core.outcomes import keyed_outcome
-from dragonflyslip_core.outcomes import Outcome
-from dragonflyslip_core.outcomes import Refusal
-from dragonflyslip_core.pacing import ColdPacer
-from dragonflyslip_core.pacing import RepeatBudget
-from dragonflyslip_core.placement import choose as choose_target
-from dragonflyslip_core.placement import expected_work
-from dragonflyslip_core.placement import HealthReading
-from dragonflyslip_core.placement import LoadReading
-from dragonflyslip_core.placement import Option
-from dragonflyslip_core.placement import sample as sample_targets
-from dragonflyslip_core.placement import TargetStanding
-from dragonflyslip_core.probes import ProbeBudget
-from dragonflyslip_core.probes import ProbePool
-from dragonflyslip_core.probes import ProbeSchedule
-from dragonflyslip_core.profiles import PRESETS
-from dragonflyslip_core.profiles import Profile
-from dragonflyslip_core.profiles import Service
-from dragonflyslip_core.retries import CallProgress
-from dragonflyslip_core.retries import Denial
-from dragonflyslip_core.retries import HedgePolicy
-from dragonflyslip_core.retries import is_marked
-from dragonflyslip_core.retries import NoRepeat
-from dragonflyslip_core.retries import Repeat
-from dragonflyslip_core.retries import RETRY_HEADER
-from dragonflyslip_core.retries import RETRY_VALUE
-from dragonflyslip_core.retries import RetryBudget
-from dragonflyslip_core.retries import RetryPolicy
-from dragonflyslip_core.routing import LeastInFlight
-from dragonflyslip_core.routing import PeakEwma
-from dragonflyslip_core.routing import Policy
-from dragonflyslip_core.routing import Probing
-from dragonflyslip_core.routing import RandomChoice
-from dragonflyslip_core.routing import RoundRobin
-from dragonflyslip_core.routing import TwoChoices
-from dragonflyslip_core.shares import holder_of
-from dragonflyslip_core.shares import holds
-from dragonflyslip_core.shares import rate_share_of
-from dragonflyslip_core.shares import share_of
-from dragonflyslip_core.shares import whole_share_of
-from dragonflyslip_core.suspects import CrashMark
-from dragonflyslip_core.suspects import key_fingerprint
-from dragonflyslip_core.suspects import StreamFingerprint
-from dragonflyslip_core.suspects import Suspect
-from dragonflyslip_core.suspects import SuspectTable
-from dragonflyslip_core.targets import InstanceState
-from dragonflyslip_core.targets import LoadReport
-from dragonflyslip_core.targets import parse_load_header
-from dragonflyslip_core.targets import ReportState
-from dragonflyslip_core.targets import Target
-from dragonflyslip_core.targets import TargetState
-from dragonflyslip_core.warmup import Permit
-from dragonflyslip_core.warmup import TargetFact
-from dragonflyslip_core.warmup import WarmupController
-from dragonflyslip_core.warmup import WarmupRules
+import importlib
+import typing
+
+# Public names by module. Each module is imported when one of its names is
+# first used: a gateway that restarts serves sooner without those it never
+# uses.
+_NAMES = {
+    'admission': (
+        'hedge_delay_s',
+        'is_worth_sending',
+        'Prospect',
+        'retry_after_s',
+        'RouteLoad',
+    ),
+    'answers': (
+        'StoredResponse',
+        'AnswerStore',
+        'Mismatch',
+        'RunningCall',
+        'StoredAnswer',
+    ),
+    'blackboard': ('Blackboard',),
+    'budgets': ('TokenBucket',),
+    'changes': (
+        'ConfigChange',
+        'encode_change',
+        'Kind',
+        'parse_change',
+    ),
+    'checkpoints': (
+        'adopt_snapshot',
+        'bootstrap',
+        'CheckpointSchedule',
+        'load_checkpoint',
+        'LogRecord',
+        'make_checkpoint',
+    ),
+    'claim_batcher': (
+        'Batch',
+        'CallClaim',
+        'ClaimBatcher',
+        'ClaimState',
+    ),
+    'claim_batches': (
+        'decode_batch',
+        'encode_batch',
+    ),
+    'claims': (
+        'apply_claim_record',
+        'ClaimRecord',
+        'ClaimTable',
+        'ClaimVerdict',
+        'Holder',
+        'Key',
+        'KeyClaims',
+        'parse_key',
+        'ReleaseRecord',
+        'ReleaseSeen',
+    ),
+    'config': (
+        'Applied',
+        'apply_record',
+        'AuditEntry',
+        'check_change',
+        'CheckpointHeader',
+        'ConfigState',
+        'Ignored',
+        'IgnoredReason',
+        'Item',
+        'read_checkpoint_header',
+        'Rejected',
+        'Verdict',
+    ),
+    'connections': (
+        'Closures',
+        'ConnectionRules',
+        'Open',
+        'Reuse',
+        'Wait',
+    ),
+    'default_policy': ('DefaultPolicy',),
+    'directory': (
+        'Directory',
+        'RegisteredTarget',
+        'Registration',
+    ),
+    'domains': (
+        'DomainSplit',
+        'in_service',
+        'spare_capacity',
+        'utilisation',
+    ),
+    'errors': (
+        'CoreError',
+        'HeaderError',
+        'KeyFormatError',
+        'RecordError',
+        'RoutingError',
+        'ValidationError',
+    ),
+    'freshness': (
+        'Freshness',
+        'FreshnessState',
+    ),
+    'health': (
+        'Answer',
+        'HealthySelection',
+        'LatencyMedian',
+        'looks_healthy',
+        'record_answer',
+        'record_report',
+        'record_sent',
+        'select_healthy',
+    ),
+    'limits': (
+        'AdaptiveLimit',
+        'Admission',
+        'AdmissionQueue',
+        'DEADLINE_HEADER',
+        'parse_deadline',
+        'ShedCall',
+        'ShedReason',
+        'WaitingCall',
+    ),
+    'manifest': (
+        'CallerLimits',
+        'Manifest',
+        'Route',
+        'RouteKind',
+        'ServiceRules',
+        'WeightedService',
+    ),
+    'membership': (
+        'Agreement',
+        'EntryId',
+        'HEARTBEAT_S',
+        'Member',
+        'MemberReport',
+        'Membership',
+        'MembershipView',
+        'view_digest',
+    ),
+    'models': (
+        'InServiceModel',
+        'LiftSuspectModel',
+        'ProfileModel',
+        'ServiceModel',
+    ),
+    'outcomes': (
+        'keyed_outcome',
+        'Outcome',
+        'Refusal',
+    ),
+    'pacing': (
+        'ColdPacer',
+        'RepeatBudget',
+    ),
+    'placement': (
+        'choose_target',
+        'expected_work',
+        'HealthReading',
+        'LoadReading',
+        'Option',
+        'sample_targets',
+        'TargetStanding',
+    ),
+    'probes': (
+        'ProbeBudget',
+        'ProbePool',
+        'ProbeSchedule',
+    ),
+    'profiles': (
+        'PRESETS',
+        'Profile',
+        'Service',
+    ),
+    'retries': (
+        'CallProgress',
+        'Denial',
+        'HedgePolicy',
+        'is_marked',
+        'NoRepeat',
+        'Repeat',
+        'RETRY_HEADER',
+        'RETRY_VALUE',
+        'RetryBudget',
+        'RetryPolicy',
+    ),
+    'routing': (
+        'LeastInFlight',
+        'PeakEwma',
+        'Policy',
+        'Probing',
+        'RandomChoice',
+        'RoundRobin',
+        'TwoChoices',
+    ),
+    'shares': (
+        'holder_of',
+        'holds',
+        'rate_share_of',
+        'share_of',
+        'whole_share_of',
+    ),
+    'suspects': (
+        'CrashMark',
+        'key_fingerprint',
+        'StreamFingerprint',
+        'Suspect',
+        'SuspectTable',
+    ),
+    'target_facts': ('TargetFact',),
+    'targets': (
+        'InstanceState',
+        'LoadReport',
+        'parse_load_header',
+        'ReportState',
+        'Target',
+        'TargetState',
+    ),
+    'warmup': (
+        'Permit',
+        'WarmupController',
+        'WarmupRules',
+    ),
+}
+_MODULE_OF = {
+    name: module for module, names in _NAMES.items() for name in names
+}
+# Public names that differ from those inside their modules.
+_INNER_NAMES = {
+    'StoredResponse': 'Answer',
+    'choose_target': 'choose',
+    'sample_targets': 'sample',
+}
+
+__all__ = list(_MODULE_OF)
+
+
+def __getattr__(name: str) -> typing.Any:
+    module_name = _MODULE_OF.get(name)
+    if module_name is None:
+        raise AttributeError(f'module {__name__!r} has no attribute {name!r}')
+    module = importlib.import_module(f'{__name__}.{module_name}')
+    return getattr(module, _INNER_NAMES.get(name, name))
--- a/packages/core/src/dragonflyslip_core/changes.py
+++ b/packages/core/src/dragonflyslip_core/changes.py
@@ -12,9 +12,10 @@
 
 from dragonflyslip_core import errors
 from dragonflyslip_core import models
+from dragonflyslip_core import names
 
 MAX_CHANGE_BYTES = 16_384
-_NAME = re.compile(models.NAME_PATTERN)
+_NAME = re.compile(names.NAME_PATTERN)
 # Instance ids and request fingerprints come from other systems.
 _FOREIGN_NAME = re.compile(r'^[\x21-\x7e]{1,200}$')
 _MAX_JSON_INTEGER = 2**53 - 1
--- a/packages/core/src/dragonflyslip_core/models.py
+++ b/packages/core/src/dragonflyslip_core/models.py
@@ -8,9 +8,7 @@
 
 import pydantic
 
-NAME_PATTERN = r'^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$'
-
-Name = typing.Annotated[str, pydantic.Field(pattern=NAME_PATTERN)]
+from dragonflyslip_core import names
 
 
 def _bounded(default, low, high, description):
@@ -109,7 +107,7 @@
 class ServiceModel(_StrictModel):
     """A service and the profile that it uses."""
 
-    profile: Name
+    profile: names.Name
     hosts: tuple[str, ...] = pydantic.Field(
         default=(),
         description='Host header values; the service name always matches',
--- a/packages/core/src/dragonflyslip_core/warmup.py
+++ b/packages/core/src/dragonflyslip_core/warmup.py
@@ -17,6 +17,7 @@
 from dragonflyslip_core import membership
 from dragonflyslip_core import profiles
 from dragonflyslip_core import shares
+from dragonflyslip_core import target_facts
 from dragonflyslip_core import targets
 
 _REMEMBERED_BOOTS = 4
@@ -58,22 +59,6 @@
         return min(self.slots, self.cold_concurrency << min(step, 32))
 
 
-@dataclasses.dataclass(frozen=True)
-class TargetFact:
-    """What an entry tells its peers of a target.
-
-    :param level: requests at once that the sender's ramp allows, 0 if it is
-        not the holder or the target is warm.
-    :param age_s: seconds since the sender last saw this boot id.
-    """
-
-    target_id: str
-    boot_id: str
-    warm: bool
-    level: int
-    age_s: float
-
-
 @dataclasses.dataclass(frozen=True)
 class Permit:
     """Leave to write one request, valid only in the step that obtained it.
@@ -219,7 +204,7 @@
         record.suspected_at = now
         self._publish(target_id)
 
-    def observe_fact(self, fact: TargetFact, now: float) -> None:
+    def observe_fact(self, fact: target_facts.TargetFact, now: float) -> None:
         """Take over what a peer says of a target."""
         record = self._records.get(fact.target_id)
         if record is None:
@@ -347,13 +332,13 @@
                 capacity += self._level(record) or record.peer_level
         return capacity
 
-    def take_notices(self, now: float) -> list[TargetFact]:
+    def take_notices(self, now: float) -> list[target_facts.TargetFact]:
         """Return the facts to send to all peers at once, and forget them."""
         pending = list(dict.fromkeys(self._notices))
         self._notices.clear()
         return self._facts(pending, now)
 
-    def recent_facts(self, now: float) -> list[TargetFact]:
+    def recent_facts(self, now: float) -> list[target_facts.TargetFact]:
         """Return the facts for a round of heartbeats, at most two.
 
         One is of the targets that changed lately and one of all, in turn,
@@ -373,20 +358,20 @@
         ]
         return self._facts(dict.fromkeys(chosen), now)
 
-    def all_facts(self, now: float) -> list[TargetFact]:
+    def all_facts(self, now: float) -> list[target_facts.TargetFact]:
         """Return the facts for a peer that has just connected."""
         return self._facts(list(self._records), now)
 
     def _facts(
         self, target_ids: typing.Iterable[str], now: float
-    ) -> list[TargetFact]:
+    ) -> list[target_facts.TargetFact]:
         facts = []
         for target_id in target_ids:
             record = self._records.get(target_id)
             if record is None or record.boot_id is None:
                 continue
             facts.append(
-                TargetFact(
+                target_facts.TargetFact(
                     target_id=target_id,
                     boot_id=record.boot_id,
                     warm=record.warm,
--- a/packages/core/tests/test_warmup.py
+++ b/packages/core/tests/test_warmup.py
@@ -7,6 +7,7 @@
 
 from dragonflyslip_core import blackboard
 from dragonflyslip_core import membership
+from dragonflyslip_core import target_facts
 from dragonflyslip_core import targets
 from dragonflyslip_core import warmup
 
@@ -44,7 +45,7 @@
 
     def fact(self, boot, now, warm=True, age_s=0.0):
         self.warmup.observe_fact(
-            warmup.TargetFact('t', boot, warm, 0, age_s), now
+            target_facts.TargetFact('t', boot, warm, 0, age_s), now
         )
 
     def start(self, now, opened_at=0.0):
--- a/packages/entry/src/dragonflyslip_entry/__init__.py
+++ b/packages/entry/src/dragonflyslip_entry/__init__.py
@@ -4,16 +4,20 @@
 
 from dragonflyslip_entry.errors import EntryError
 from dragonflyslip_entry.errors import SettingsError
-from dragonflyslip_entry.settings import Settings
 
 if typing.TYPE_CHECKING:
     from dragonflyslip_entry.daemon import Entry
+    from dragonflyslip_entry.settings import Settings
 
 
 def __getattr__(name: str) -> typing.Any:
-    # A gateway starts faster without the modules that Entry needs.
+    # A gateway starts faster without the modules that these need.
     if name == 'Entry':
         from dragonflyslip_entry import daemon
 
         return daemon.Entry
+    if name == 'Settings':
+        from dragonflyslip_entry import settings
+
+        return settings.Settings
     raise AttributeError(f'module {__name__!r} has no attribute {name!r}')
--- a/packages/entry/src/dragonflyslip_entry/caller_server.py
+++ b/packages/entry/src/dragonflyslip_entry/caller_server.py
@@ -6,7 +6,7 @@
 from aiohttp import web
 
 from dragonflyslip_core import outcomes
-from dragonflyslip_entry import responses
+from dragonflyslip_entry import problems
 
 # Headers beyond these sizes get 400 and the connection is closed.
 _MAX_LINE_BYTES = 16_384
@@ -36,7 +36,7 @@
             kind = 'bad-request'
         elif exc is not None:
             self.log_exception('call failed', exc_info=exc)
-        return responses.refuse(
+        return problems.refuse(
             outcomes.Refusal(
                 status,
                 outcome,
--- a/packages/entry/src/dragonflyslip_entry/cli.py
+++ b/packages/entry/src/dragonflyslip_entry/cli.py
@@ -1,15 +1,22 @@
 """The command ``dragonflyslipd``."""
 
 import argparse
+import collections.abc
+import contextlib
+import gc
 import os
 import sys
+import typing
 
 import uvloop
 
 from dragonflyslip_entry import errors
+from dragonflyslip_entry import flag_settings
 from dragonflyslip_entry.gateway import settings as gateway_settings
 from dragonflyslip_entry import logs
-from dragonflyslip_entry import settings
+
+if typing.TYPE_CHECKING:
+    from dragonflyslip_entry import settings
 
 _EPILOG = """\
 Each flag can be given as an environment variable; a flag takes precedence.
@@ -33,6 +40,8 @@
 
 def build_parser() -> argparse.ArgumentParser:
     """Return the parser of the command line."""
+    from dragonflyslip_entry import settings
+
     return _parser(
         'dragonflyslipd',
         'Entry instance of the dragonflyslip load balancer.',
@@ -55,7 +64,7 @@
     prog: str,
     description: str,
     epilog: str,
-    model: type[settings.FlagSettings],
+    model: type[flag_settings.FlagSettings],
 ) -> argparse.ArgumentParser:
     parser = argparse.ArgumentParser(
         prog=prog,
@@ -81,6 +90,8 @@
         model, run = gateway_settings.GatewaySettings, _run_gateway
         flags = vars(parser.parse_args(words[1:]))
     else:
+        from dragonflyslip_entry import settings
+
         model, run = settings.Settings, _run
         flags = vars(build_parser().parse_args(words))
     check_only = flags.pop('check_settings')
@@ -106,19 +117,45 @@
 
 # Each kind of entry is imported by the process that runs it: the other
 # one's modules would cost start-up time and memory.
-async def _run(options: settings.Settings) -> None:
+async def _run(options: "settings.Settings") -> None:
     from dragonflyslip_entry import daemon
 
     await daemon.Entry(options).run()
 
 
 async def _run_gateway(options: gateway_settings.GatewaySettings) -> None:
-    from dragonflyslip_entry.gateway import adapters
-    from dragonflyslip_entry.gateway import daemon
+    _skip_certificates(options.store_url)
+    with _uncollected():
+        from dragonflyslip_entry.gateway import adapters
+        from dragonflyslip_entry.gateway import daemon
 
-    adapter = adapters.load_adapter(options.adapter)
+        adapter = adapters.load_adapter(options.adapter)
     await daemon.Gateway(options, adapter).run()
 
 
+def _skip_certificates(store_url: str) -> None:
+    """Spare a gateway without TLS the trusted certificates.
+
+    The HTTP library parses all of them when it is imported.
+    """
+    if store_url.startswith('http:'):
+        os.environ.setdefault('SSL_CERT_FILE', os.devnull)
+        os.environ.setdefault('SSL_CERT_DIR', os.devnull)
+
+
+@contextlib.contextmanager
+def _uncollected() -> collections.abc.Iterator[None]:
+    """Import modules without collecting garbage.
+
+    What they create stays, and is left out of later collections too.
+    """
+    gc.disable()
+    try:
+        yield
+    finally:
+        gc.freeze()
+        gc.enable()
+
+
 if __name__ == '__main__':
     sys.exit(main())
--- a/packages/entry/src/dragonflyslip_entry/daemon.py
+++ b/packages/entry/src/dragonflyslip_entry/daemon.py
@@ -27,6 +27,7 @@
 from dragonflyslip_entry import connections
 from dragonflyslip_entry import dispatcher
 from dragonflyslip_entry import entry_relay
+from dragonflyslip_entry import flag_settings
 from dragonflyslip_entry import fleet_controller
 from dragonflyslip_entry import keyed_calls
 from dragonflyslip_entry import logs
@@ -119,7 +120,7 @@
             self.warmups,
             self.stored,
             options.failure_domain,
-            settings.split_endpoint(options.listen)[1],
+            flag_settings.split_endpoint(options.listen)[1],
             self.config.adopt_snapshot,
         )
         self.claiming = claim_controller.ClaimController(
@@ -273,7 +274,7 @@
         logs.changed('entry has stopped')
 
     async def _start_controllers(self) -> None:
-        host, port = settings.split_endpoint(self.options.peer_listen)
+        host, port = flag_settings.split_endpoint(self.options.peer_listen)
         await self.peers.links.listen(host, port)
         for controller in (
             self.config.run(),
@@ -322,14 +323,14 @@
         await self.session.close()
 
     async def _listen_callers(self) -> asyncio.Server:
-        host, port = settings.split_endpoint(self.options.listen)
+        host, port = flag_settings.split_endpoint(self.options.listen)
         loop = asyncio.get_running_loop()
         return await loop.create_server(
             self.server, host, port, backlog=1024, reuse_address=True
         )
 
     async def _listen_admin(self) -> web.AppRunner:
-        host, port = settings.split_endpoint(self.options.admin_listen)
+        host, port = flag_settings.split_endpoint(self.options.admin_listen)
         runner = web.AppRunner(self.admin.application(), access_log=None)
         await runner.setup()
         await web.TCPSite(runner, host, port).start()
--- a/packages/entry/src/dragonflyslip_entry/gateway/daemon.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/daemon.py
@@ -9,6 +9,7 @@
 from aiohttp import web
 
 from dragonflyslip_entry import caller_server
+from dragonflyslip_entry import flag_settings
 from dragonflyslip_entry.gateway import adapters
 from dragonflyslip_entry.gateway import asking
 from dragonflyslip_entry.gateway import board as board_types
@@ -20,7 +21,6 @@
 from dragonflyslip_entry.gateway import target_pools
 from dragonflyslip_entry.gateway import topology
 from dragonflyslip_entry import logs
-from dragonflyslip_entry import settings as entry_settings
 
 # The balancer in front takes an instance out after two missed questions, one
 # a second; until then callers still arrive.
@@ -95,7 +95,7 @@
                 self.options.metrics_listen, '/metrics', self._handle_metrics
             ),
         ]
-        host, port = entry_settings.split_endpoint(self.options.listen)
+        host, port = flag_settings.split_endpoint(self.options.listen)
         listener = await self.loop.create_server(
             self.server, host, port, backlog=_BACKLOG, reuse_address=True
         )
@@ -151,7 +151,7 @@
             application, access_log=None, shutdown_timeout=STOP_MARGIN_S / 3
         )
         await runner.setup()
-        host, port = entry_settings.split_endpoint(endpoint)
+        host, port = flag_settings.split_endpoint(endpoint)
         await web.TCPSite(runner, host, port).start()
         return runner
 
--- a/packages/entry/src/dragonflyslip_entry/gateway/feeds.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/feeds.py
@@ -10,13 +10,13 @@
 
 from dragonflyslip_core import feeds
 from dragonflyslip_core import membership
-from dragonflyslip_core import models
+from dragonflyslip_core import names
 from dragonflyslip_core import providers as provider_types
+from dragonflyslip_entry import flag_settings
 from dragonflyslip_entry.gateway import adapters
 from dragonflyslip_entry.gateway import board as board_types
 from dragonflyslip_entry.gateway import relay as relay_types
 from dragonflyslip_entry import logs
-from dragonflyslip_entry import settings as entry_settings
 
 # Readers ask the log to wait for a change. It may not wake a read, or its
 # answer may be lost: the wait and the timeout of the read stay below the 2 s
@@ -41,8 +41,8 @@
     model_config = pydantic.ConfigDict(extra='ignore', strict=True)
 
     incarnation: int = pydantic.Field(ge=0, lt=2**64)
-    failure_domain: models.Name
-    endpoint: entry_settings.Endpoint
+    failure_domain: names.Name
+    endpoint: flag_settings.Endpoint
 
 
 @dataclasses.dataclass
@@ -96,7 +96,7 @@
 
     async def run(self) -> None:
         """Follow the feeds for ever."""
-        host, port = entry_settings.split_endpoint(self.endpoint)
+        host, port = flag_settings.split_endpoint(self.endpoint)
         await self.relay.listen(host, port)
         async with asyncio.TaskGroup() as group:
             group.create_task(self._register())
@@ -160,7 +160,7 @@
                 fault = error.errors(include_url=False)[0]['msg']
                 self.sink.record_skipped(record.key, fault)
                 continue
-            host, port = entry_settings.split_endpoint(entry.endpoint)
+            host, port = flag_settings.split_endpoint(entry.endpoint)
             found.append(
                 provider_types.Provider(
                     membership.EntryId(record.key, entry.incarnation),
--- a/packages/entry/src/dragonflyslip_entry/gateway/settings.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/settings.py
@@ -5,8 +5,8 @@
 
 import pydantic
 
-from dragonflyslip_core import models
-from dragonflyslip_entry import settings
+from dragonflyslip_core import names
+from dragonflyslip_entry import flag_settings
 
 _DURATION = re.compile(r'^(\d+(?:\.\d+)?)(ms|s)?$')
 
@@ -33,29 +33,29 @@
 Duration = typing.Annotated[float, pydantic.BeforeValidator(_duration)]
 
 
-class GatewaySettings(settings.FlagSettings):
+class GatewaySettings(flag_settings.FlagSettings):
     """All settings of one gateway; durations are such as 1500ms or 2s."""
 
-    name: models.Name = pydantic.Field(description='name of this instance')
-    failure_domain: models.Name = pydantic.Field(
+    name: names.Name = pydantic.Field(description='name of this instance')
+    failure_domain: names.Name = pydantic.Field(
         description='failure domain of this instance'
     )
     adapter: str = pydantic.Field(
         description='Python module that connects to the platform'
     )
-    listen: settings.Endpoint = pydantic.Field(
+    listen: flag_settings.Endpoint = pydantic.Field(
         description='IP:PORT for callers', default='127.0.0.1:8080'
     )
-    ready_listen: settings.Endpoint = pydantic.Field(
+    ready_listen: flag_settings.Endpoint = pydantic.Field(
         description='IP:PORT for readiness', default='127.0.0.1:8081'
     )
-    peer_listen: settings.Endpoint = pydantic.Field(
+    peer_listen: flag_settings.Endpoint = pydantic.Field(
         description='IP:PORT for other gateways', default='127.0.0.1:9080'
     )
-    metrics_listen: settings.Endpoint = pydantic.Field(
+    metrics_listen: flag_settings.Endpoint = pydantic.Field(
         description='IP:PORT for metrics', default='127.0.0.1:10080'
     )
-    store_url: settings.Url = pydantic.Field(
+    store_url: flag_settings.Url = pydantic.Field(
         description='URL of the store that holds manifests and targets'
     )
     stop_timeout: Duration = pydantic.Field(
--- a/packages/entry/src/dragonflyslip_entry/peer_controller.py
+++ b/packages/entry/src/dragonflyslip_entry/peer_controller.py
@@ -10,6 +10,7 @@
 from dragonflyslip_core import checkpoints
 from dragonflyslip_core import membership
 from dragonflyslip_core import suspects
+from dragonflyslip_core import target_facts
 from dragonflyslip_core import targets
 from dragonflyslip_core import warmup
 from dragonflyslip_entry import logs
@@ -209,7 +210,7 @@
 
     def _take_news(
         self,
-        facts: tuple[warmup.TargetFact, ...],
+        facts: tuple[target_facts.TargetFact, ...],
         marks: tuple[suspects.CrashMark, ...],
     ) -> None:
         now = self.loop.time()
--- a/packages/entry/src/dragonflyslip_entry/peer_links.py
+++ b/packages/entry/src/dragonflyslip_entry/peer_links.py
@@ -4,7 +4,6 @@
 import collections.abc
 import typing
 
-from dragonflyslip_core import blackboard
 from dragonflyslip_core import membership
 import dragonflyslip_wire as wire
 
@@ -15,14 +14,21 @@
 OnMessage = collections.abc.Callable[['PeerLink', typing.Any], None]
 
 
+class Counters(typing.Protocol):
+    """Where links count what happens to them."""
+
+    def count(self, name: str, amount: int = 1) -> None:
+        """Add to a counter."""
+
+
 class PeerLink(asyncio.Protocol):
     """One connection to a peer, in either direction.
 
     :param on_message: called with the link and each message.
     """
 
-    def __init__(self, board: blackboard.Blackboard, on_message: OnMessage):
-        self.board = board
+    def __init__(self, counters: Counters, on_message: OnMessage):
+        self.counters = counters
         self.on_message = on_message
         self.decoder = wire.FrameDecoder()
         self.transport: asyncio.Transport | None = None
@@ -38,7 +44,7 @@
             for message in self.decoder.feed(data):
                 self.on_message(self, message)
         except wire.WireError:
-            self.board.count('peer_bad_frames')
+            self.counters.count('peer_bad_frames')
             self.close()
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -56,11 +62,11 @@
         if transport is None or transport.is_closing():
             return False
         if transport.get_write_buffer_size() > _MAX_BUFFERED_BYTES:
-            self.board.count('peer_links_stuck')
+            self.counters.count('peer_links_stuck')
             transport.abort()
             return False
         transport.write(frame)
-        self.board.count('peer_bytes_sent', len(frame))
+        self.counters.count('peer_bytes_sent', len(frame))
         return True
 
     def close(self) -> None:
@@ -80,11 +86,11 @@
 
     def __init__(
         self,
-        board: blackboard.Blackboard,
+        counters: Counters,
         hello: wire.Hello,
         on_message: OnMessage,
     ):
-        self.board = board
+        self.counters = counters
         self.hello = hello
         self.on_message = on_message
         self.outgoing: dict[str, PeerLink] = {}
@@ -139,7 +145,7 @@
             self._server.close()
 
     def _accept(self) -> PeerLink:
-        link = PeerLink(self.board, self.on_message)
+        link = PeerLink(self.counters, self.on_message)
         self._incoming = {known for known in self._incoming if known.open}
         self._incoming.add(link)
         return link
@@ -150,10 +156,12 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, link = await loop.create_connection(
-                    lambda: PeerLink(self.board, self.on_message), host, port
+                    lambda: PeerLink(self.counters, self.on_message),
+                    host,
+                    port,
                 )
         except (OSError, TimeoutError):
-            self.board.count('peer_connect_failures')
+            self.counters.count('peer_connect_failures')
             return
         finally:
             self._connecting.pop(name, None)
--- a/packages/entry/src/dragonflyslip_entry/proxy.py
+++ b/packages/entry/src/dragonflyslip_entry/proxy.py
@@ -21,6 +21,7 @@
 from dragonflyslip_entry import keyed_calls
 from dragonflyslip_entry import metrics
 from dragonflyslip_entry import plain_calls
+from dragonflyslip_entry import problems
 from dragonflyslip_entry import responses
 
 
@@ -184,7 +185,7 @@
         marked: bool = False,
     ) -> web.StreamResponse:
         self.measures.count_refusal(refusal.kind, refusal.outcome.value)
-        response = responses.refuse(
+        response = problems.refuse(
             refusal, self.board.membership.draining or request.body_exists
         )
         if marked:
--- a/packages/entry/src/dragonflyslip_entry/settings.py
+++ b/packages/entry/src/dragonflyslip_entry/settings.py
@@ -1,126 +1,38 @@
-"""Settings of the daemon, from flags and environment variables."""
+"""Settings of an entry that reads published profiles."""
 
-import argparse
-import collections.abc
-import ipaddress
 import typing
-import urllib.parse
 
 import pydantic
 
-from dragonflyslip_core import models
-from dragonflyslip_entry import errors
+from dragonflyslip_core import names
+from dragonflyslip_entry import flag_settings
 
-VARIABLE_PREFIX = 'DRAGONFLYSLIP_'
 
-
-def _check_endpoint(text: str) -> str:
-    host, separator, port = text.rpartition(':')
-    if not separator:
-        raise ValueError('expected IP:PORT')
-    try:
-        ipaddress.ip_address(host.strip('[]'))
-    except ValueError:
-        raise ValueError('expected an IP number before the port') from None
-    if not port.isascii() or not port.isdigit():
-        raise ValueError('expected a port from 0 to 65535')
-    if int(port) > 65_535:
-        raise ValueError('expected a port from 0 to 65535')
-    return text
-
-
-def _check_url(text: str) -> str:
-    parts = urllib.parse.urlsplit(text)
-    if parts.scheme not in ('http', 'https') or not parts.hostname:
-        raise ValueError('expected http://HOST:PORT or https://HOST:PORT')
-    return text
-
-
-Endpoint = typing.Annotated[str, pydantic.AfterValidator(_check_endpoint)]
-Url = typing.Annotated[str, pydantic.AfterValidator(_check_url)]
-
-
-class FlagSettings(pydantic.BaseModel):
-    """Settings of which each is a flag and a variable.
-
-    The flag of ``listen`` is ``--listen``, its variable
-    ``DRAGONFLYSLIP_LISTEN``; a flag takes precedence.
-    """
-
-    model_config = pydantic.ConfigDict(extra='forbid', frozen=True)
-
-    @classmethod
-    def from_sources(
-        cls,
-        flags: collections.abc.Mapping[str, str | None],
-        environment: collections.abc.Mapping[str, str],
-    ) -> typing.Self:
-        """Return validated settings.
-
-        :param flags: value by field name; None if the flag was not given.
-        :param environment: the process environment.
-        :raises SettingsError: with every fault that was found.
-        """
-        values = {}
-        for field in cls.model_fields:
-            value = flags.get(field)
-            if value is None:
-                value = environment.get(variable_name(field))
-            if value is not None:
-                values[field] = value
-        try:
-            return cls.model_validate(values)
-        except pydantic.ValidationError as error:
-            raise errors.SettingsError(
-                [cls._describe(fault) for fault in error.errors()]
-            ) from None
-
-    @classmethod
-    def add_flags(cls, parser: argparse.ArgumentParser) -> None:
-        """Add a flag for each setting to ``parser``."""
-        for field, info in cls.model_fields.items():
-            default = (
-                '' if info.is_required() else f' (default {info.default})'
-            )
-            parser.add_argument(
-                flag_name(field),
-                dest=field,
-                metavar='VALUE',
-                help=f'{info.description}{default}; or {variable_name(field)}',
-            )
-
-    @classmethod
-    def _describe(cls, fault: typing.Any) -> str:
-        field = str(fault['loc'][0])
-        names = f'{flag_name(field)} ({variable_name(field)})'
-        if fault['type'] == 'missing':
-            description = cls.model_fields[field].description
-            return f'{names}: is required: {description}'
-        message = fault['msg'].removeprefix('Value error, ')
-        return f'{names}: {fault["input"]!r} is not allowed: {message}'
-
-
-class Settings(FlagSettings):
+class Settings(flag_settings.FlagSettings):
     """All settings of an entry that reads published profiles."""
 
-    name: models.Name = pydantic.Field(
+    name: names.Name = pydantic.Field(
         description='name of this entry in the instance list'
     )
-    failure_domain: models.Name = pydantic.Field(
+    failure_domain: names.Name = pydantic.Field(
         description='failure domain of this entry'
     )
-    listen: Endpoint = pydantic.Field(
+    listen: flag_settings.Endpoint = pydantic.Field(
         description='IP:PORT for callers', default='127.0.0.1:8080'
     )
-    peer_listen: Endpoint = pydantic.Field(
+    peer_listen: flag_settings.Endpoint = pydantic.Field(
         description='IP:PORT for other entries', default='127.0.0.1:9080'
     )
-    admin_listen: Endpoint = pydantic.Field(
+    admin_listen: flag_settings.Endpoint = pydantic.Field(
         description='IP:PORT for health, metrics and state',
         default='127.0.0.1:10080',
     )
-    log_url: Url = pydantic.Field(description='URL of the log service')
-    instances_url: Url = pydantic.Field(description='URL of the instance list')
+    log_url: flag_settings.Url = pydantic.Field(
+        description='URL of the log service'
+    )
+    instances_url: flag_settings.Url = pydantic.Field(
+        description='URL of the instance list'
+    )
     log_retention_s: int = pydantic.Field(
         default=86_400,
         ge=600,
@@ -142,31 +54,3 @@
     log_level: typing.Literal['debug', 'info', 'warning', 'error'] = (
         pydantic.Field(default='info', description='lowest level logged')
     )
-
-
-def flag_name(field: str) -> str:
-    """Return the flag of a field.
-
-    >>> flag_name('log_url')
-    '--log-url'
-    """
-    return '--' + field.replace('_', '-')
-
-
-def variable_name(field: str) -> str:
-    """Return the environment variable of a field.
-
-    >>> variable_name('log_url')
-    'DRAGONFLYSLIP_LOG_URL'
-    """
-    return VARIABLE_PREFIX + field.upper()
-
-
-def split_endpoint(endpoint: str) -> tuple[str, int]:
-    """Return address and port.
-
-    >>> split_endpoint('[::1]:80')
-    ('::1', 80)
-    """
-    host, _, port = endpoint.rpartition(':')
-    return host.strip('[]'), int(port)
--- a/packages/entry/tests/test_frames_and_headers.py
+++ b/packages/entry/tests/test_frames_and_headers.py
@@ -13,13 +13,13 @@
 
 from dragonflyslip_core import membership
 from dragonflyslip_core import suspects
-from dragonflyslip_core import warmup
+from dragonflyslip_core import target_facts
 import dragonflyslip_wire as wire
 
 _TIMEOUT_S = 5.0
 _REPLY_WAIT_S = 0.02
 _PEER = membership.EntryId('stranger', 7)
-_FACTS = (warmup.TargetFact('casebook-1', 'b9', True, 3, 0.5),)
+_FACTS = (target_facts.TargetFact('casebook-1', 'b9', True, 3, 0.5),)
 _MARKS = (
     suspects.CrashMark('casebook-1', 'b9', 'a', 0.5, 600.0, ('0f', 'aa')),
 )
--- a/packages/entry/tests/test_settings.py
+++ b/packages/entry/tests/test_settings.py
@@ -6,6 +6,7 @@
 
 from dragonflyslip_entry import cli
 from dragonflyslip_entry import errors
+from dragonflyslip_entry import flag_settings
 from dragonflyslip_entry.gateway import adapters
 from dragonflyslip_entry.gateway import settings as gateway_settings
 from dragonflyslip_entry import settings
@@ -67,7 +68,7 @@
 class TestCommand:
     def test_check_settings_validates_and_stops(self, capsys, monkeypatch):
         flags = [
-            f'{settings.flag_name(field)}={value}'
+            f'{flag_settings.flag_name(field)}={value}'
             for field, value in GOOD.items()
         ]
         assert cli.main(['--check-settings', *flags]) == 0
@@ -81,8 +82,8 @@
         for field, info in settings.Settings.model_fields.items():
             default = 'none' if info.is_required() else info.default
             row = (
-                f'| `{settings.flag_name(field)}` '
-                f'| `{settings.variable_name(field)}` '
+                f'| `{flag_settings.flag_name(field)}` '
+                f'| `{flag_settings.variable_name(field)}` '
                 f'| {default} | {info.description} |'
             )
             assert row in PAGE
@@ -96,8 +97,8 @@
         for field, info in fields.items():
             default = 'none' if info.is_required() else info.default
             row = (
-                f'| `{settings.flag_name(field)}` '
-                f'| `{settings.variable_name(field)}` '
+                f'| `{flag_settings.flag_name(field)}` '
+                f'| `{flag_settings.variable_name(field)}` '
                 f'| {default} | {info.description} |'
             )
             assert row in page
@@ -128,7 +129,7 @@
 
     def test_command_checks_settings_and_stops(self, capsys):
         words = [
-            f'{settings.flag_name(field)}={value}'
+            f'{flag_settings.flag_name(field)}={value}'
             for field, value in GATEWAY.items()
         ]
         assert cli.main(['gateway', '--check-settings', *words]) == 0
--- a/packages/operator/src/dragonflyslip_operator/commands/services.py
+++ b/packages/operator/src/dragonflyslip_operator/commands/services.py
@@ -4,6 +4,7 @@
 
 from dragonflyslip_core import changes
 from dragonflyslip_core import models
+from dragonflyslip_core import names
 from dragonflyslip_operator import context as contexts
 from dragonflyslip_operator import errors
 from dragonflyslip_operator import output
@@ -63,7 +64,7 @@
         raise errors.InvalidChangeError(
             [
                 f'--profile {arguments.profile}: not the name of a profile; '
-                f'allowed: {models.NAME_PATTERN}'
+                f'allowed: {names.NAME_PATTERN}'
             ]
         ) from error
     await context.publish(_KIND, arguments.name, model)
--- a/packages/testing/src/dragonflyslip_testing/fleet.py
+++ b/packages/testing/src/dragonflyslip_testing/fleet.py
@@ -13,6 +13,7 @@
 
 from dragonflyslip_core import blackboard
 from dragonflyslip_core import membership
+from dragonflyslip_core import target_facts
 from dragonflyslip_core import targets
 from dragonflyslip_core import warmup
 from returns import pipeline
@@ -233,7 +234,7 @@
                 entry.warmup.observe_report(
                     target.target_id, target.report(), clock, clock
                 )
-                fact = warmup.TargetFact(
+                fact = target_facts.TargetFact(
                     target.target_id, target.boot_id, True, 0, 0.0
                 )
                 entry.warmup.observe_fact(fact, clock)
@@ -404,7 +405,7 @@
         return lambda at: peer.membership.observe_heartbeat(report, at)
 
     @staticmethod
-    def _facts_handler(peer: SimEntry, facts: list[warmup.TargetFact]):
+    def _facts_handler(peer: SimEntry, facts: list[target_facts.TargetFact]):
         def handle(at: float) -> None:
             for fact in facts:
                 peer.warmup.observe_fact(fact, at)
--- a/packages/wire/src/dragonflyslip_wire/messages.py
+++ b/packages/wire/src/dragonflyslip_wire/messages.py
@@ -12,7 +12,7 @@
 from dragonflyslip_core import feeds
 from dragonflyslip_core import membership
 from dragonflyslip_core import suspects
-from dragonflyslip_core import warmup
+from dragonflyslip_core import target_facts
 from dragonflyslip_wire import errors
 
 PROTOCOL_VERSION = 1
@@ -76,7 +76,7 @@
     config_through: int = 0
     config_digest: bytes = b''
     log_read_age_s: float | None = None
-    targets: tuple[warmup.TargetFact, ...] = ()
+    targets: tuple[target_facts.TargetFact, ...] = ()
     marks: tuple[suspects.CrashMark, ...] = ()
 
 
@@ -88,7 +88,7 @@
     """
 
     notice_id: int
-    targets: tuple[warmup.TargetFact, ...] = ()
+    targets: tuple[target_facts.TargetFact, ...] = ()
     marks: tuple[suspects.CrashMark, ...] = ()
 
 
@@ -345,7 +345,9 @@
     )
 
 
-def _write_facts(builder, facts: typing.Sequence[warmup.TargetFact]) -> None:
+def _write_facts(
+    builder, facts: typing.Sequence[target_facts.TargetFact]
+) -> None:
     if not facts:
         return
     items = builder.init('targets', len(facts))
@@ -358,9 +360,9 @@
         item.ageMs = _to_ms(fact.age_s, round_up=True)
 
 
-def _read_facts(reader) -> tuple[warmup.TargetFact, ...]:
+def _read_facts(reader) -> tuple[target_facts.TargetFact, ...]:
     return tuple(
-        warmup.TargetFact(
+        target_facts.TargetFact(
             target_id=_name(item.targetId, 'target id'),
             boot_id=_name(item.bootId, 'boot id'),
             warm=item.warm,
--- a/packages/wire/tests/test_frames.py
+++ b/packages/wire/tests/test_frames.py
@@ -8,7 +8,7 @@
 
 from dragonflyslip_core import membership
 from dragonflyslip_core import suspects
-from dragonflyslip_core import warmup
+from dragonflyslip_core import target_facts
 import dragonflyslip_wire as wire
 from dragonflyslip_wire import messages
 
@@ -22,7 +22,12 @@
 entry_ids = strategies.builds(membership.EntryId, names, uint64)
 facts = strategies.lists(
     strategies.builds(
-        warmup.TargetFact, names, names, strategies.booleans(), uint16, ages
+        target_facts.TargetFact,
+        names,
+        names,
+        strategies.booleans(),
+        uint16,
+        ages,
     ),
     max_size=4,
 ).map(tuple)
@@ -238,7 +243,9 @@
             wire.ConfigPull(-1),
             wire.Hello(membership.EntryId('n' * 257, 1)),
             wire.Hello(membership.EntryId('\ud800', 1)),
-            wire.Notice(1, (warmup.TargetFact('t', 'b', True, 2**16, 0),)),
+            wire.Notice(
+                1, (target_facts.TargetFact('t', 'b', True, 2**16, 0),)
+            ),
             'text',
         ],
     )
