--- a/packages/entry/src/dragonflyslip_entry/gateway/topology.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/topology.py
@@ -39,6 +39,7 @@
                 )
             return
         self.board.manifest = manifest
+        self.board.waits.keep({route.name for route in manifest.routes})
         logs.changed(
             'manifest in force',
             version=manifest.version,
