Revert the trial that keeps the waits of callers in the store

Open: waits are learned by service and kind, so that callers of two routes of one service and kind with different waits are not told apart.

--- a/packages/core/src/dragonflyslip_core/admission.py
+++ b/packages/core/src/dragonflyslip_core/admission.py
@@ -48,9 +48,11 @@
     """What responses to one kind of request of one service showed.
 
     :param work_s: usual time of a request at an idle target, 0 if unknown.
+    :param longest_wait_s: longest wait that a caller stated.
     """
 
     work_s: float = 0.0
+    longest_wait_s: float = 0.0
 
     def record(
         self, took_s: float, expected_work: float, target_latency_s: float
@@ -75,6 +77,14 @@
         """Return the learned time, or a part of the target latency."""
         return self.work_s or ASSUMED_PART * target_latency_s
 
+    def waited_before_s(self, wait_s: float) -> float:
+        """Return for how long a caller has tried already.
+
+        :param wait_s: seconds that it will wait from now on.
+        """
+        self.longest_wait_s = max(self.longest_wait_s, wait_s)
+        return self.longest_wait_s - wait_s
+
 
 @dataclasses.dataclass(frozen=True)
 class Prospect:
--- a/packages/core/tests/test_admission.py
+++ b/packages/core/tests/test_admission.py
@@ -7,7 +7,7 @@
 from dragonflyslip_core import admission
 from dragonflyslip_testing import returning
 
-LOAD = admission.RouteLoad(work_s=0.16)
+LOAD = admission.RouteLoad(work_s=0.16, longest_wait_s=3.0)
 
 
 def _prospect(**fields):
@@ -93,6 +93,11 @@
 
 
 class TestRouteLoad:
+    def test_shorter_wait_means_an_earlier_try(self):
+        load = admission.RouteLoad()
+        assert load.waited_before_s(3.0) == 0.0
+        assert load.waited_before_s(2.2) == pytest.approx(0.8)
+
     def test_queues_do_not_pass_for_work(self):
         # Guards against refusals that last after an overload: what slow
         # responses taught made usual ones look late.
--- a/packages/entry/src/dragonflyslip_entry/gateway/board.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/board.py
@@ -10,7 +10,6 @@
 from dragonflyslip_core import pacing
 from dragonflyslip_core import placement
 from dragonflyslip_core import providers
-from dragonflyslip_core import waits as wait_types
 
 
 @dataclasses.dataclass
@@ -23,7 +22,6 @@
     :param targets_listed: whether targets were listed since the start.
     :param standings: what answers showed of each target, by id.
     :param route_loads: what responses showed, by service and kind.
-    :param waits: how long callers of each route wait.
     :param draining: whether the process is about to stop.
     :param entries: entries that share the limits of the fleet, at least.
     :param counters: counts by metric name without the common prefix.
@@ -51,9 +49,6 @@
     route_loads: dict[
         tuple[str, manifest_types.RouteKind], admission.RouteLoad
     ] = dataclasses.field(default_factory=dict)
-    waits: wait_types.CallerWaits = dataclasses.field(
-        default_factory=wait_types.CallerWaits
-    )
     counters: collections.Counter[str] = dataclasses.field(
         default_factory=collections.Counter
     )
--- a/packages/entry/src/dragonflyslip_entry/gateway/feeds.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/feeds.py
@@ -15,7 +15,6 @@
 from dragonflyslip_entry.gateway import adapters
 from dragonflyslip_entry.gateway import board as board_types
 from dragonflyslip_entry.gateway import relay as relay_types
-from dragonflyslip_entry.gateway import wait_keeper
 from dragonflyslip_entry import logs
 
 # Readers ask the log to wait for a change. It may not wake a read, or its
@@ -98,7 +97,6 @@
             self._take,
             self._ages,
         )
-        self.keeper = wait_keeper.WaitKeeper(board, log, self.entries_feed)
         self.registered = False
         self._on_duty = asyncio.Event()
 
@@ -109,7 +107,6 @@
         async with asyncio.TaskGroup() as group:
             group.create_task(self._register())
             group.create_task(self._keep_up())
-            group.create_task(self.keeper.run(self._on_duty.is_set))
             for feed in self.feeds:
                 group.create_task(self._follow(feed))
 
@@ -149,8 +146,7 @@
                     logs.changed('registration failed', reason=error.message)
             await asyncio.sleep(random.uniform(RETRY_MIN_S, RETRY_MAX_S))
         older = self._providers(page, own.offset)
-        self.keeper.restore(page)
-        self.board.fleet.note(_count_entries(page), self.loop.time())
+        self.board.fleet.note(len(page.records), self.loop.time())
         logs.changed('registered', order=own.offset, older=len(older))
         self.registered = True
         self.duty = provider_types.ReadDuty()
@@ -162,7 +158,7 @@
     ) -> list[provider_types.Provider]:
         found = []
         for record in page.records:
-            if record.offset >= own or not _is_entry(record):
+            if record.offset >= own or record.value is None:
                 continue
             try:
                 entry = _decode_entry(record.value)
@@ -277,14 +273,6 @@
             self.relay.announce()
 
 
-def _is_entry(record: feeds.FeedRecord) -> bool:
-    return record.value is not None and record.key != wait_keeper.KEY
-
-
-def _count_entries(page: feeds.FeedPage) -> int:
-    return sum(_is_entry(record) for record in page.records)
-
-
 def _find(
     page: feeds.FeedPage, key: str, value: bytes
 ) -> feeds.FeedRecord | None:
--- a/packages/entry/src/dragonflyslip_entry/gateway/handling.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/handling.py
@@ -135,12 +135,10 @@
         if service is None:
             return Refused(503, 'unknown-service', NO_MANIFEST_RETRY_S)
         marks = self.dialect.read_request(request.headers)
-        wait_s, waited_before_s = DEFAULT_WAIT_S, 0.0
-        if marks.wait_s is not None:
-            wait_s = marks.wait_s
-            waited_before_s = self.board.waits.waited_before_s(
-                route.name, wait_s
-            )
+        wait_s = DEFAULT_WAIT_S if marks.wait_s is None else marks.wait_s
+        waited_before_s = self.board.load_of(
+            service.name, route.kind
+        ).waited_before_s(wait_s)
         self.board.repeats_of(service.name).request()
         return calls.Call(
             request_id=marks.request_id,
--- a/packages/entry/src/dragonflyslip_entry/gateway/topology.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/topology.py
@@ -39,7 +39,6 @@
                 )
             return
         self.board.manifest = manifest
-        self.board.waits.keep({route.name for route in manifest.routes})
         logs.changed(
             'manifest in force',
             version=manifest.version,
