--- a/packages/entry/tests/test_settings.py
+++ b/packages/entry/tests/test_settings.py
@@ -118,6 +118,33 @@
             )
         assert '--stop-timeout' in caught.value.format_message()
 
+    @pytest.mark.parametrize(
+        ('field', 'text', 'allowed'),
+        [
+            ('log_level', 'loud', 'debug, info, warning, error'),
+            ('ask_rate', 'nan', '> 0'),
+            ('ask_rate', 'fast', 'float'),
+            ('planned_entries', '0', '>= 1'),
+            ('planned_entries', '2.5', 'int'),
+            ('repeat_ratio', '2', '<= 1'),
+            ('name', 'edge-1\n', 'a-z0-9'),
+            ('failure_domain', 'Zone', 'a-z0-9'),
+            ('store_url', '10.0.0.5:7000', 'http://HOST:PORT'),
+        ],
+    )
+    def test_fault_says_what_is_allowed(self, field, text, allowed):
+        # Guards against a value that passes a check which stops early, and
+        # against messages that leave the operator guessing.
+        with pytest.raises(errors.SettingsError) as caught:
+            gateway_settings.GatewaySettings.from_sources(
+                {**GATEWAY, field: text}, {}
+            )
+        assert len(caught.value.faults) == 1
+        message = caught.value.format_message()
+        assert flag_settings.flag_name(field) in message
+        assert repr(text) in message
+        assert allowed in message
+
     def test_unknown_adapter_is_a_fault(self):
         with pytest.raises(errors.SettingsError) as caught:
             adapters.load_adapter('no_such_module')
