--- a/tests/adapter/test_load.py
+++ b/tests/adapter/test_load.py
@@ -37,6 +37,16 @@
     return target
 
 
+async def _until(condition) -> None:
+    async with asyncio.timeout(10.0):
+        while not condition():
+            await asyncio.sleep(0.002)
+
+
+def _taken(target: emulator.EmulatedTarget) -> int:
+    return target.running + target.waiting + target.overfull
+
+
 class TestVerdict:
     def test_answered_request_that_ran_once_is_well(self):
         target = _target('a')
@@ -86,27 +96,28 @@
     async def test_target_queues_and_then_draws_no_answer(self):
         """Guards against stand-ins that bear any load at once."""
         target = emulator.EmulatedTarget(
-            'casebook', slots=2, work_s=0.2, queue=1
+            'casebook', slots=2, work_s=60.0, queue=1
         )
         await target.start()
+        writers = []
         try:
-            writers = []
             for number in range(4):
                 _, writer = await asyncio.open_connection(
                     '127.0.0.1', target.port
                 )
+                writers.append(writer)
                 head = f'GET / HTTP/1.1\r\nX-Request-Id: {number}\r\n\r\n'
                 writer.write(head.encode())
-                writers.append(writer)
-                await asyncio.sleep(0.01)
+                await _until(lambda: _taken(target) > number)
             assert (target.running, target.waiting) == (2, 1)
             assert target.overfull == 1
-            await asyncio.sleep(0.6)
-            assert len(target.runs) == 3
-            assert (target.running, target.waiting) == (0, 0)
+            # A caller that leaves frees its slot for the one that waits.
+            writers[0].close()
+            await _until(lambda: len(target.runs) == 3)
+            assert (target.running, target.waiting) == (2, 0)
+        finally:
             for writer in writers:
                 writer.close()
-        finally:
             await target.close()
 
 
