--- /dev/null
+++ b/tests/adapter/processes.py
@@ -0,0 +1,41 @@
+"""Gateways as processes of their own."""
+
+import asyncio
+import sys
+import typing
+
+from dragonflyslip_testing import ports
+
+
+class GatewayProcess(typing.NamedTuple):
+    """A gateway that a test starts, perhaps several times.
+
+    :param listen: ``IP:PORT`` for callers.
+    """
+
+    listen: str
+    arguments: tuple[str, ...]
+
+    @classmethod
+    def from_store(cls, name: str, store_url: str) -> typing.Self:
+        """Return a gateway on free ports."""
+        listen, ready, peers, measures = (
+            f'127.0.0.1:{ports.free_port()}' for _ in range(4)
+        )
+        return cls(
+            listen,
+            (
+                *('--adapter', 'dragonflyslip_adapter', '--name', name),
+                *('--failure-domain', 'zone-a', '--listen', listen),
+                *('--ready-listen', ready, '--peer-listen', peers),
+                *('--metrics-listen', measures, '--store-url', store_url),
+            ),
+        )
+
+    async def start(self) -> asyncio.subprocess.Process:
+        """Start the process; the caller ends it."""
+        return await asyncio.create_subprocess_exec(
+            *(sys.executable, '-m', 'dragonflyslip_entry', 'gateway'),
+            *self.arguments,
+            stdout=asyncio.subprocess.DEVNULL,
+        )
--- a/tests/adapter/test_emulator.py
+++ b/tests/adapter/test_emulator.py
@@ -8,7 +8,7 @@
 import pytest
 
 from dragonflyslip_emulator import __main__ as program
-from dragonflyslip_testing import ports
+from tests.adapter import processes
 
 
 @contextlib.asynccontextmanager
@@ -27,25 +27,16 @@
 class TestProgram:
     async def test_gateway_serves_its_routes(self):
         # Guards against an example in the pages that does not run.
-        listen, ready, peers, measures = (
-            f'127.0.0.1:{ports.free_port()}' for _ in range(4)
-        )
         async with contextlib.AsyncExitStack() as stack:
             emulator = await stack.enter_async_context(
                 _process('dragonflyslip_emulator', '--service', 'grantdesk=2')
             )
             line = (await emulator.stdout.readline()).decode()
             url = line.removeprefix('store ').strip()
-            await stack.enter_async_context(
-                _process(
-                    *('dragonflyslip_entry', 'gateway'),
-                    *('--adapter', 'dragonflyslip_adapter'),
-                    *('--name', 'edge-1', '--failure-domain', 'zone-a'),
-                    *('--listen', listen, '--ready-listen', ready),
-                    *('--peer-listen', peers, '--metrics-listen', measures),
-                    *('--store-url', url),
-                )
-            )
+            gateway = processes.GatewayProcess.from_store('edge-1', url)
+            running = await gateway.start()
+            stack.push_async_callback(running.wait)
+            stack.callback(running.terminate)
             session = await stack.enter_async_context(aiohttp.ClientSession())
             status = 0
             async with asyncio.timeout(20.0):
@@ -53,7 +44,7 @@
                     await asyncio.sleep(0.05)
                     with contextlib.suppress(aiohttp.ClientError):
                         async with session.get(
-                            f'http://{listen}/grantdesk/safe/hello',
+                            f'http://{gateway.listen}/grantdesk/safe/hello',
                             headers={
                                 'Host': 'app.example',
                                 'X-Request-Id': 'request-1',
--- a/tests/adapter/test_load.py
+++ b/tests/adapter/test_load.py
@@ -13,6 +13,7 @@
 from dragonflyslip_emulator import store as store_types
 from dragonflyslip_emulator import verdict
 from dragonflyslip_testing import ports
+from tests.adapter import processes
 
 
 def _attempt(**changes) -> verdict.Attempt:
@@ -152,24 +153,16 @@
 class TestProgram:
     async def test_load_is_played_and_compared(self):
         """Guards against an example in the pages that does not run."""
-        listen, ready, peers, measures = (
-            f'127.0.0.1:{ports.free_port()}' for _ in range(4)
-        )
         store = ports.free_port()
+        before = processes.GatewayProcess.from_store(
+            'edge-1', f'http://127.0.0.1:{store}'
+        )
         async with contextlib.AsyncExitStack() as stack:
-            gateway = await asyncio.create_subprocess_exec(
-                *(sys.executable, '-m', 'dragonflyslip_entry', 'gateway'),
-                *('--adapter', 'dragonflyslip_adapter'),
-                *('--name', 'edge-1', '--failure-domain', 'zone-a'),
-                *('--listen', listen, '--ready-listen', ready),
-                *('--peer-listen', peers, '--metrics-listen', measures),
-                *('--store-url', f'http://127.0.0.1:{store}'),
-                stdout=asyncio.subprocess.DEVNULL,
-            )
+            gateway = await before.start()
             stack.callback(gateway.terminate)
             emulated = await asyncio.create_subprocess_exec(
                 *(sys.executable, '-m', 'dragonflyslip_emulator'),
-                *('--port', str(store), '--gateway', listen),
+                *('--port', str(store), '--gateway', before.listen),
                 *('--load', '20x0.5', '--load', '60x0.5'),
                 stdout=asyncio.subprocess.PIPE,
             )
