Run the mutated copy in processes that tests start

Cause: pytest found the copy by its settings, but processes that a test starts found the installed packages, so a mutation could survive in a test of processes. Seen with gateway-never-reads, which survived in the tool and failed when put into a checkout by hand.

Change: PYTHONPATH names the copy. Six mutations for the tests of the choice, the records, the settings and the restart are in the table.

--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -636,6 +636,49 @@
         'wanted = min(len(near), max(1, count - 2))',
         f'{_CORE_TESTS}/test_placement.py::TestSample',
     ),
+    Mutation(
+        'gateway-speed-ignored',
+        f'{_CORE}/placement.py',
+        'speed = max(load.work_percent, 1) / USUAL_SPEED',
+        'speed = 1.0',
+        f'{_CORE_TESTS}/test_choices.py',
+    ),
+    Mutation(
+        'gateway-queue-ignored',
+        f'{_CORE}/placement.py',
+        'ahead = load.running + load.waiting + unseen',
+        'ahead = unseen',
+        f'{_CORE_TESTS}/test_choices.py',
+    ),
+    Mutation(
+        'gateway-crowding-ignored',
+        f'{_CORE}/placement.py',
+        '        return speed * CROWDED_FACTOR\n    return speed',
+        '        return speed\n    return speed',
+        f'{_CORE_TESTS}/test_choices.py',
+    ),
+    Mutation(
+        'gateway-nested-record',
+        f'{_ADAPTER}/records.py',
+        '(msgspec.DecodeError, ValueError, RecursionError)',
+        '(msgspec.DecodeError, ValueError)',
+        'tests/adapter/test_records.py',
+    ),
+    Mutation(
+        'gateway-name-not-whole',
+        f'{_ENTRY}/flag_settings.py',
+        're.fullmatch(names.NAME_PATTERN, text)',
+        're.match(names.NAME_PATTERN, text)',
+        f'{_ENTRY_TESTS}/test_settings.py',
+    ),
+    Mutation(
+        'gateway-never-reads',
+        f'{_CORE}/providers.py',
+        '        return self.reads\n\n\nclass FleetSize',
+        '        self.reads = False\n'
+        '        return self.reads\n\n\nclass FleetSize',
+        'tests/adapter/test_restart.py',
+    ),
     Mutation(
         'gateway-learned-queues',
         f'{_CORE}/admission.py',
@@ -655,10 +698,16 @@
 
 def _run_tests(root: pathlib.Path, test: str) -> int | None:
     """Return the exit code of pytest, None after a timeout."""
+    # Processes that the test starts must run the copy as well.
+    sources = [*sorted(root.glob('packages/*/src')), root / 'platform/src']
     process = subprocess.Popen(
         [sys.executable, '-m', 'pytest', '-x', test],
         cwd=root,
-        env={**os.environ, 'PYTHONDONTWRITEBYTECODE': '1'},
+        env={
+            **os.environ,
+            'PYTHONDONTWRITEBYTECODE': '1',
+            'PYTHONPATH': os.pathsep.join(map(str, sources)),
+        },
         stdout=subprocess.DEVNULL,
         stderr=subprocess.DEVNULL,
         # The test may have started processes, which end with it.
