Send signals by a process handle in the test of the exit

A loop of 150 processes that end while signals are sent shows it in 19; with pidfd_send_signal(), which reaps nothing, in none of 150. The assertion is unchanged, and the gateway is not at fault.

--- a/tests/adapter/test_exit.py
+++ b/tests/adapter/test_exit.py
@@ -1,6 +1,7 @@
 """The end of a gateway process, after it has served its last request."""
 
 import asyncio
+import contextlib
 import os
 import signal
 
@@ -64,8 +65,15 @@
         gateway.process.send_signal(signal.SIGTERM)
         await gateway.read_until(b'gateway has stopped')
         ended = asyncio.create_task(gateway.wait())
-        while not ended.done():
-            gateway.process.send_signal(signal.SIGHUP)
-            gateway.process.send_signal(signal.SIGTERM)
-            await asyncio.wait([ended], timeout=0.001)
+        # send_signal() reaps a process that has ended, and wait() then does
+        # not know its exit status.
+        handle = os.pidfd_open(gateway.process.pid)
+        try:
+            while not ended.done():
+                with contextlib.suppress(ProcessLookupError):
+                    signal.pidfd_send_signal(handle, signal.SIGHUP)
+                    signal.pidfd_send_signal(handle, signal.SIGTERM)
+                await asyncio.wait([ended], timeout=0.001)
+        finally:
+            os.close(handle)
         assert ended.result() == 0
