--- a/tests/adapter/conftest.py
+++ b/tests/adapter/conftest.py
@@ -154,8 +154,13 @@
         method: str = 'GET',
         body: bytes | None = None,
         wait_ms: int = 2_000,
+        gateway: daemon.Gateway | None = None,
     ) -> Reply:
-        """Send one request and return its response."""
+        """Send one request and return its response.
+
+        :param gateway: the gateway to send to, by default the first one.
+        """
+        listen = (gateway or self.gateway).options.listen
         headers = {
             'Host': HOST,
             'X-Request-Id': f'request-{next(self.ids)}',
@@ -164,7 +169,7 @@
         try:
             async with self.session.request(
                 method,
-                f'http://127.0.0.1:{self.port}{path}',
+                f'http://{listen}{path}',
                 headers=headers,
                 data=body,
             ) as response:
--- /dev/null
+++ b/tests/adapter/test_crashing_requests.py
@@ -0,0 +1,176 @@
+"""Requests that crash the targets that run them."""
+
+import asyncio
+import itertools
+
+from dragonflyslip_emulator import faults
+from dragonflyslip_emulator import store as store_types
+
+TARGETS = 8
+RESTART_AFTER_S = 0.3
+KILLER = '/safe/killer'
+# After this time from the third crash, a request may be sent three times more.
+# The platform allows 3 s.
+SETTLE_S = 1.0
+MAX_LATE_SENDS = 3
+
+
+class Crashes:
+    """Targets that a request crashes, and that start again afterwards.
+
+    :ivar times: when the targets crashed, on the event loop's clock.
+    """
+
+    def __init__(self, platform, condition):
+        self.platform = platform
+        self.condition = condition
+        self.times: list[float] = []
+        self._restarts: set[asyncio.Task[None]] = set()
+
+    async def add_targets(self, count: int = TARGETS) -> None:
+        """Start targets that the request crashes."""
+        for _ in range(count):
+            target = await self.platform.add_target()
+            target.crashes_on = self.condition
+            target.on_crash = lambda target=target: self._restart(target)
+
+    async def wait_until_restarted(self) -> None:
+        """Wait until all targets run again."""
+        while self._restarts:
+            await asyncio.sleep(0.01)
+
+    def _restart(self, target) -> None:
+        loop = asyncio.get_running_loop()
+        self.times.append(loop.time())
+        task = loop.create_task(self._restart_later(target))
+        self._restarts.add(task)
+        task.add_done_callback(self._restarts.discard)
+
+    async def _restart_later(self, target) -> None:
+        await asyncio.sleep(RESTART_AFTER_S)
+        await target.restart(self.platform.store)
+
+    def late_sends(self) -> int:
+        """Return how often the request was sent late after the third crash."""
+        limit = sorted(self.times)[2] + SETTLE_S
+        return sum(
+            self.condition(run) and run.started_at > limit
+            for run in self.platform.runs()
+        )
+
+
+def is_killer(run) -> bool:
+    return run.path == KILLER
+
+
+async def start_gateways(platform, count: int) -> list:
+    """Start gateways that keep the records of crashes of this store."""
+    await platform.start()
+    others = [await platform.add_gateway() for _ in range(count - 1)]
+    return [platform.gateway, *others]
+
+
+async def send_for(platform, duration_s: float, gateways, *call) -> list[int]:
+    """Send the same request again and again, at each gateway in turn.
+
+    :return: the statuses of the responses.
+    """
+    loop = asyncio.get_running_loop()
+    ends_at = loop.time() + duration_s
+    statuses = []
+    for gateway in itertools.cycle(gateways):
+        if loop.time() > ends_at:
+            return statuses
+        reply = await platform.call(*call, gateway=gateway)
+        statuses.append(reply.status)
+        await asyncio.sleep(0.1)
+
+
+class TestRequestsThatCrashTargets:
+    async def test_safe_request_is_refused_by_all_gateways(self, platform):
+        """Guards against a request that crashes one target after another."""
+        crashes = Crashes(platform, is_killer)
+        await crashes.add_targets()
+        await platform.publish()
+        gateways = await start_gateways(platform, 3)
+        statuses = await send_for(platform, 4.0, gateways, KILLER)
+        assert crashes.late_sends() <= MAX_LATE_SENDS
+        assert statuses[-1] == 503
+
+    async def test_unsafe_request_is_known_by_its_body(self, platform):
+        crashes = Crashes(platform, lambda run: run.body == b'killer')
+        await crashes.add_targets()
+        await platform.publish()
+        gateways = await start_gateways(platform, 3)
+        await send_for(platform, 4.0, gateways, '/unsafe/1', 'POST', b'killer')
+        assert crashes.late_sends() <= MAX_LATE_SENDS
+        await crashes.wait_until_restarted()
+        other = await platform.call('/unsafe/1', 'POST', b'other body')
+        assert other.status == 200
+
+    async def test_gateway_that_starts_later_refuses_it(self, platform):
+        """Guards against a restart that forgets what was seen before."""
+        crashes = Crashes(platform, is_killer)
+        await crashes.add_targets()
+        await platform.publish()
+        gateways = await start_gateways(platform, 2)
+        await send_for(platform, 3.0, gateways, KILLER)
+        await crashes.wait_until_restarted()
+        for gateway in gateways:
+            await platform.stop(gateway)
+        late = await platform.add_gateway()
+        before = len(crashes.times)
+        reply = await platform.call(KILLER, gateway=late)
+        assert (reply.status, len(crashes.times)) == (503, before)
+
+    async def test_outage_of_the_store_loses_no_crash(self, platform):
+        """Guards against crashes that are forgotten while it is away."""
+        crashes = Crashes(platform, is_killer)
+        await crashes.add_targets()
+        await platform.publish()
+        gateways = await start_gateways(platform, 2)
+        platform.store.fault = store_types.StoreFault.BUSY
+        await send_for(platform, 2.0, gateways, KILLER)
+        platform.store.fault = store_types.StoreFault.NONE
+        await send_for(platform, 4.0, gateways, KILLER)
+        back = asyncio.get_running_loop().time() - 4.0 + SETTLE_S
+        late = [run for run in platform.runs() if run.started_at > back]
+        assert len(late) <= MAX_LATE_SENDS
+
+
+class TestRequestsThatOthersCrash:
+    async def test_common_request_in_flight_at_crashes_is_served(
+        self, platform
+    ):
+        """Guards against a refusal of what was in flight by chance."""
+        crashes = Crashes(platform, is_killer)
+        await crashes.add_targets()
+        for target in platform.targets:
+            target.work_s = 0.05
+        await platform.publish()
+        gateways = await start_gateways(platform, 2)
+
+        async def send_common() -> list[int]:
+            return await send_for(platform, 4.0, gateways, '/safe/common')
+
+        *common, _ = await asyncio.gather(
+            *(send_common() for _ in range(6)),
+            send_for(platform, 3.0, gateways, KILLER),
+        )
+        assert len(crashes.times) >= 3
+        for statuses in common:
+            assert set(statuses[-5:]) == {200}
+
+    async def test_lost_connections_alone_are_no_crashes(self, platform):
+        """Guards against a refusal after resets by targets that live on."""
+        await platform.add_target()
+        await platform.add_target()
+        await platform.publish()
+        await start_gateways(platform, 1)
+        for target in platform.targets:
+            target.faults.extend([faults.Fault.RESET] * 6)
+        for _ in range(6):
+            await platform.call('/safe/1')
+        for target in platform.targets:
+            target.faults.clear()
+        assert (await platform.call('/safe/1')).status == 200
