Log each lost response with an identity of its request

The log could not show that requests under different ids are one request that comes again. The line 'response lost' names the target, the reason and a digest of the method, host, path and the first 4 KiB of the body, which is computed for lost responses only. The digest of the older entry's suspects moves to the same module.

--- a/packages/core/src/dragonflyslip_core/suspects.py
+++ b/packages/core/src/dragonflyslip_core/suspects.py
@@ -7,14 +7,13 @@
 
 import collections
 import dataclasses
-import hashlib
 import itertools
 import math
 
 from dragonflyslip_core import outcomes
+from dragonflyslip_core import request_identity
 from dragonflyslip_core import targets
 
-BODY_HEAD_BYTES = 4096
 DIGEST_BYTES = 16
 
 # A restart shows within one connection attempt. A lost connection that is not
@@ -36,15 +35,8 @@
 
 def key_fingerprint(service: str, key: str) -> str:
     """Return the fingerprint of a call with an idempotency key, in hex."""
-    return _digest(('key', service, key)).hexdigest()
-
-
-def _digest(fields: tuple[str, ...]) -> 'hashlib.blake2b':
-    digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
-    for field in fields:
-        data = field.encode('utf-8', 'surrogateescape')
-        digest.update(len(data).to_bytes(4, 'little') + data)
-    return digest
+    fields = ('key', service, key)
+    return request_identity.digest(fields, DIGEST_BYTES).hexdigest()
 
 
 class StreamFingerprint:
@@ -65,10 +57,14 @@
         content_length: int | None,
     ):
         length = '' if content_length is None else str(content_length)
-        self._hash = _digest(('call', service, method, path, query, length))
-        self.remaining_bytes = BODY_HEAD_BYTES
+        self._hash = request_identity.digest(
+            ('call', service, method, path, query, length), DIGEST_BYTES
+        )
+        self.remaining_bytes = request_identity.BODY_HEAD_BYTES
         if content_length is not None:
-            self.remaining_bytes = min(content_length, BODY_HEAD_BYTES)
+            self.remaining_bytes = min(
+                content_length, request_identity.BODY_HEAD_BYTES
+            )
 
     @property
     def complete(self) -> bool:
--- a/packages/entry/src/dragonflyslip_entry/gateway/calls.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/calls.py
@@ -1,12 +1,14 @@
 """The state of one request and its body."""
 
 import dataclasses
+import functools
 import math
 
 from aiohttp import web
 import multidict
 
 from dragonflyslip_core import manifest as manifest_types
+from dragonflyslip_core import request_identity
 from dragonflyslip_entry import errors
 from dragonflyslip_entry import headers
 
@@ -54,6 +56,13 @@
     stop_at: float = math.inf
     streaming: bool = False
 
+    @functools.cached_property
+    def path_identity(self) -> str:
+        """The first half of the request's identity."""
+        return request_identity.path_identity(
+            self.method, self.headers['Host'], self.path
+        )
+
     @property
     def deadline_at(self) -> float:
         """When the request gets an error response if it has no other one."""
@@ -75,6 +84,15 @@
         return self.route.max_attempts - len(self.sent_to)
 
 
+def identity_of(call: Call, body: 'RequestBody | None') -> str | None:
+    """Return the identity of a request, None until its body is known."""
+    if body is None:
+        return request_identity.identity(call.path_identity, b'')
+    if not body.has_whole_head:
+        return None
+    return request_identity.identity(call.path_identity, body.head)
+
+
 def end_to_end_headers(
     received: multidict.MultiMapping[str], always: frozenset[str]
 ) -> multidict.CIMultiDict[str]:
@@ -107,6 +125,7 @@
         self.request = request
         self.kept: list[bytes] | None = []
         self.kept_bytes = 0
+        self.head = b''
         self.complete = False
 
     @property
@@ -114,6 +133,21 @@
         """Whether the body can be streamed again from its start."""
         return self.kept is not None
 
+    @property
+    def has_whole_head(self) -> bool:
+        """Whether ``head`` has all bytes that identify the body."""
+        return (
+            self.complete or len(self.head) >= request_identity.BODY_HEAD_BYTES
+        )
+
+    async def read_head(self) -> None:
+        """Read the bytes that identify the body, before it is streamed.
+
+        :raises CallerBodyError: as :meth:`stream`.
+        """
+        while not self.has_whole_head:
+            await self._read()
+
     async def stream(self):
         """Yield the body from its start.
 
@@ -122,22 +156,28 @@
         """
         for chunk in tuple(self.kept or ()):
             yield chunk
-        while not self.complete:
-            try:
-                chunk = await self.request.content.readany()
-            except Exception as error:
-                raise errors.CallerBodyError(
-                    f'request body ended early: {error!r}'
-                ) from error
-            if not chunk:
-                self.complete = True
-                return
-            self._keep(chunk)
+        while chunk := await self._read():
             yield chunk
 
+    async def _read(self) -> bytes:
+        """Return the next bytes, none at the end of the body."""
+        if self.complete:
+            return b''
+        try:
+            chunk = await self.request.content.readany()
+        except Exception as error:
+            raise errors.CallerBodyError(
+                f'request body ended early: {error!r}'
+            ) from error
+        self.complete = not chunk
+        self._keep(chunk)
+        return chunk
+
     def _keep(self, chunk: bytes) -> None:
+        missing = request_identity.BODY_HEAD_BYTES - len(self.head)
+        self.head += chunk[:missing]
         self.kept_bytes += len(chunk)
         if self.kept_bytes > MAX_KEPT_BODY_BYTES:
             self.kept = None
-        if self.kept is not None:
+        if self.kept is not None and chunk:
             self.kept.append(chunk)
--- a/packages/entry/src/dragonflyslip_entry/gateway/sending.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/sending.py
@@ -9,6 +9,7 @@
 from dragonflyslip_entry.gateway import calls
 from dragonflyslip_entry.gateway import probing
 from dragonflyslip_entry import http_connection
+from dragonflyslip_entry import logs
 
 # Responses up to this size are read completely before the caller gets a byte,
 # so that a truncated one is detected first.
@@ -100,6 +101,14 @@
             if not (isinstance(outcome, Answered) and not outcome.complete):
                 self.release(probed, isinstance(outcome, Answered | NotRun))
         self._record_outcome(call, probed, outcome, attempt)
+        if isinstance(outcome, ResponseLost):
+            logs.request(
+                'response lost',
+                request=call.request_id,
+                target=probed.target.target_id,
+                identity=calls.identity_of(call, body),
+                reason=outcome.reason,
+            )
         return outcome
 
     def release(self, probed: probing.ProbedTarget, reusable: bool) -> None:
