Refuse requests that crash the targets that run them

Seen by callers and operators: a request under which three targets had ended was sent on, and ended target after target, at every gateway.

Cause: a lost response counted against its target alone. No gateway kept which requests were in flight at a crash, none told the others, and a restart forgot all. The lines 'response lost' of a run with three gateways show one identity 74 times for 74 sends, so the sends do not fall off, and each request id twice, so the budget of repeats was not at fault.

Change: a target whose connection was lost is asked who it is. If it has crashed, the request's identity is recorded in a topic of the project's own, which gateways copy as they copy targets. A request that was in flight at three crashes, not all of them of one moment, is refused. A success takes back one level, and one gateway tries a refused request again, after 15 s, 60 s and 240 s. While a crash is known for its path, a request goes to one target at a time.

--- /dev/null
+++ b/packages/core/tests/test_request_crashes.py
@@ -0,0 +1,183 @@
+"""Requests that crash the targets that run them."""
+
+import itertools
+
+import pytest
+
+from dragonflyslip_core import request_crashes
+from dragonflyslip_core import request_identity
+
+KILLER = request_identity.identity('a' * 16, b'')
+OTHER = request_identity.identity('a' * 16, b'other')
+
+
+class Fleet:
+    """Tables of several entries that exchange their records."""
+
+    def __init__(self, count=3):
+        self.tables = [
+            request_crashes.RequestCrashes(f'entry-{number}')
+            for number in range(count)
+        ]
+        self.lives = itertools.count()
+
+    def crash(self, entry, now, identity=KILLER, depth=None, share=True):
+        """Record a crash at one entry, and share it with the others."""
+        table = self.tables[entry]
+        if depth is None:
+            depth = table.depth(identity) + 1
+        crash = request_crashes.RequestCrash(
+            identity, f'life-{next(self.lives):03}', depth, table.entry
+        )
+        assert table.add(crash, now)
+        if share:
+            self.share(crash, now)
+        return crash
+
+    def share(self, crash, now):
+        for table in self.tables:
+            table.add(crash, now, shared=True)
+
+    def admitted(self, now, identity=KILLER):
+        return [table.admit(identity, now) is None for table in self.tables]
+
+
+@pytest.fixture
+def fleet():
+    return Fleet()
+
+
+class TestRefusal:
+    def test_three_crashes_in_turn_refuse_the_request(self, fleet):
+        for entry in range(3):
+            assert all(fleet.admitted(entry))
+            fleet.crash(entry, entry)
+        assert not any(fleet.admitted(3.0))
+        assert all(fleet.admitted(3.0, OTHER))
+
+    def test_crashes_of_one_moment_do_not(self, fleet):
+        """Guards against a refusal of what a failed domain was running."""
+        crashes = [fleet.crash(0, 0.0, share=False, depth=1) for _ in range(9)]
+        for crash in crashes:
+            fleet.share(crash, 0.1)
+        assert all(fleet.admitted(0.2))
+
+    def test_one_more_after_crashes_of_one_moment_does(self, fleet):
+        """Guards against a request that several entries send at once."""
+        for entry in range(3):
+            fleet.crash(entry, 0.0, depth=1)
+        fleet.crash(0, 5.0)
+        assert not any(fleet.admitted(6.0))
+
+    def test_report_of_the_same_crash_counts_once(self, fleet):
+        crash = fleet.crash(0, 0.0)
+        for _ in range(3):
+            fleet.share(crash, 1.0)
+        assert len(fleet.tables[0]) == 1
+
+    def test_domain_of_the_targets_does_not_matter(self, fleet):
+        """Guards against crashes in quick succession that are excluded."""
+        for step in range(3):
+            fleet.crash(0, step * 0.01)
+        assert not any(fleet.admitted(0.1))
+
+
+class TestSuccess:
+    def test_takes_back_the_last_crash_only(self, fleet):
+        """Guards against one success that clears all earlier crashes."""
+        fleet.crash(0, 0.0)
+        fleet.crash(0, 1.0)
+        assert fleet.tables[0].succeeded(KILLER) == []
+        assert fleet.tables[0].depth(KILLER) == 1
+        fleet.crash(0, 2.0)
+        fleet.crash(0, 3.0)
+        assert fleet.tables[0].admit(KILLER, 4.0) is not None
+
+    def test_common_request_is_never_refused(self, fleet):
+        for step in range(20):
+            fleet.crash(step % 3, step)
+            for table in fleet.tables:
+                table.succeeded(KILLER)
+            assert all(fleet.admitted(step + 0.5))
+
+    def test_record_that_comes_again_stays_taken_back(self, fleet):
+        crash = fleet.crash(0, 0.0)
+        fleet.tables[1].succeeded(KILLER)
+        fleet.tables[1].replace([(crash, 5.0)], 5.0)
+        assert fleet.tables[1].depth(KILLER) == 0
+
+
+class TestTrials:
+    def refuse(self, fleet):
+        for _ in range(3):
+            fleet.crash(1, 0.0)
+
+    def test_only_the_entry_of_the_last_crash_tries_and_only_once(self, fleet):
+        self.refuse(fleet)
+        delay_s = request_crashes.TRIAL_DELAY_S
+        assert fleet.admitted(delay_s - 0.1) == [False, False, False]
+        assert fleet.admitted(delay_s) == [False, True, False]
+        assert fleet.admitted(delay_s + 0.1) == [False, False, False]
+
+    def test_cancelled_trial_is_followed_by_another(self, fleet):
+        self.refuse(fleet)
+        at = request_crashes.TRIAL_DELAY_S
+        assert fleet.admitted(at)[1]
+        assert fleet.admitted(at + request_crashes.TRIAL_TIMEOUT_S)[1]
+
+    def test_successful_trial_clears_the_request_everywhere(self, fleet):
+        self.refuse(fleet)
+        assert fleet.admitted(request_crashes.TRIAL_DELAY_S)[1]
+        deleted = fleet.tables[1].succeeded(KILLER)
+        assert len(deleted) == 3
+        for crash in deleted:
+            for table in fleet.tables:
+                table.remove(*crash.key)
+        assert all(fleet.admitted(16.0))
+        assert not any(len(table) for table in fleet.tables)
+
+    def test_request_that_always_crashes_is_tried_three_times(self, fleet):
+        """Guards against more than three sends after the third crash."""
+        self.refuse(fleet)
+        tries = 0
+        for now in range(1, int(request_crashes.MEMORY_S) - 1):
+            for entry, admitted in enumerate(fleet.admitted(float(now))):
+                if admitted:
+                    tries += 1
+                    fleet.crash(entry, float(now))
+        assert tries == 3
+
+
+class TestRecords:
+    def test_expire_after_some_time(self, fleet):
+        crash = fleet.crash(0, 0.0)
+        assert fleet.tables[0].expire(request_crashes.MEMORY_S - 1) == []
+        assert fleet.tables[0].expire(request_crashes.MEMORY_S) == [crash]
+        assert not fleet.tables[0].knows_path('a' * 16)
+
+    def test_old_record_is_not_added(self, fleet):
+        crash = fleet.crash(0, 0.0, share=False)
+        added = fleet.tables[1].add(
+            crash, 9.0, age_s=request_crashes.MEMORY_S, shared=True
+        )
+        assert not added
+
+    def test_complete_list_removes_shared_records_only(self, fleet):
+        """Guards against the loss of a record that is still being written."""
+        fleet.crash(0, 0.0)
+        own = fleet.crash(0, 0.0, share=False)
+        fleet.tables[0].replace([], 1.0)
+        assert len(fleet.tables[0]) == 1
+        fleet.tables[0].remove(*own.key)
+        assert len(fleet.tables[0]) == 0
+
+    def test_number_is_bounded_and_chains_are_kept(self, fleet, monkeypatch):
+        monkeypatch.setattr(request_crashes, 'MAX_CRASHES', 5)
+        for _ in range(3):
+            fleet.crash(0, 0.0)
+        for number in range(20):
+            fleet.crash(
+                0, 1.0, request_identity.identity(f'{number:016}', b'')
+            )
+        assert len(fleet.tables[0]) <= 5
+        assert fleet.tables[0].depth(KILLER) == 3
--- a/packages/entry/src/dragonflyslip_entry/gateway/board.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/board.py
@@ -10,6 +10,7 @@
 from dragonflyslip_core import pacing
 from dragonflyslip_core import placement
 from dragonflyslip_core import providers
+from dragonflyslip_core import request_crashes
 
 
 @dataclasses.dataclass
@@ -64,6 +65,7 @@
 
     def __post_init__(self):
         self.fleet = providers.FleetSize(self.entries)
+        self.request_crashes = request_crashes.RequestCrashes(self.name)
         self.cold_pacer = pacing.ColdPacer(self.entries)
         self.probe_budget = pacing.HealthProbeBudget(
             self.ask_rate, self.entries
--- a/packages/entry/src/dragonflyslip_entry/gateway/daemon.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/daemon.py
@@ -4,6 +4,7 @@
 import random
 import secrets
 import signal
+import time
 import typing
 
 from aiohttp import web
@@ -13,9 +14,11 @@
 from dragonflyslip_entry import flag_settings
 from dragonflyslip_entry.gateway import adapters
 from dragonflyslip_entry.gateway import board as board_types
+from dragonflyslip_entry.gateway import crash_reports
 from dragonflyslip_entry.gateway import feeds
 from dragonflyslip_entry.gateway import handling
 from dragonflyslip_entry.gateway import metrics
+from dragonflyslip_entry.gateway import probing
 from dragonflyslip_entry.gateway import sending
 from dragonflyslip_entry.gateway import settings as settings_types
 from dragonflyslip_entry.gateway import target_pools
@@ -65,22 +68,26 @@
             self.board, self.pools, self.loop.time
         )
         self.log = adapter.open_log(options.store_url)
+        prober = probing.Prober(self.board, self.pools, self.dialect)
+        self.crashes = crash_reports.CrashReporter(
+            self.board, prober, self.log, adapter.crashes_feed, time.time
+        )
         self.feeds = feeds.FeedController(
             self.board,
             adapter,
             self.log,
             self.topology,
+            self.crashes,
             options.name,
             options.peer_listen,
         )
         self.handler = handling.RequestHandler(
             self.board,
-            target_selection.TargetSelector(
-                self.board, self.pools, self.dialect
-            ),
-            sending.Sender(self.board, self.dialect),
+            target_selection.TargetSelector(self.board, prober),
+            sending.Sender(self.board, self.dialect, self.crashes),
             self.dialect,
             self.metrics,
+            self.crashes,
         )
         self.server = caller_server.CallerServer(self.handler.handle)
         self.handler.busy = self.server.busy
@@ -143,6 +150,7 @@
             await runner.cleanup()
         self.pools.close()
         self.feeds.close()
+        await self.crashes.close()
         await self.log.close()
         self.server.log_unsent_data()
 
@@ -150,6 +158,7 @@
         while True:
             await asyncio.sleep(MAINTENANCE_PERIOD_S)
             self.topology.expire()
+            self.crashes.expire(self.feeds.read_decision.reads)
             self.pools.close_idle(self.loop.time())
             logs.flush_summary(self.loop.time())
 
--- a/packages/entry/src/dragonflyslip_entry/gateway/feeds.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/feeds.py
@@ -18,6 +18,7 @@
 from dragonflyslip_entry import flag_settings
 from dragonflyslip_entry.gateway import adapters
 from dragonflyslip_entry.gateway import board as board_types
+from dragonflyslip_entry.gateway import crash_reports
 from dragonflyslip_entry.gateway import relay as relay_types
 from dragonflyslip_entry import logs
 
@@ -79,6 +80,7 @@
 class FeedController:
     """Keeps copies of all feeds current and passes changes to the decoder.
 
+    :param crashes: gets the records of requests that crash targets.
     :param name: name of this gateway.
     :param endpoint: IP:PORT at which other gateways reach it.
     """
@@ -89,6 +91,7 @@
         adapter: adapters.Adapter,
         log: adapters.RecordLog,
         sink: adapters.TopologySink,
+        crashes: crash_reports.CrashReporter,
         name: str,
         endpoint: str,
     ):
@@ -96,12 +99,13 @@
         self.log = log
         self.sink = sink
         self.decoder = adapter.open_decoder(sink)
+        self.crashes = crashes
         self.entries_feed = adapter.entries_feed
         self.own_id = membership.EntryId(name, secrets.randbits(64))
         self.endpoint = endpoint
         self.loop = asyncio.get_running_loop()
         self.read_decision = provider_types.ReadDecision()
-        self.feeds = {feed: _Feed() for feed in adapter.feeds}
+        self.feeds = {feed: _Feed() for feed in (*adapter.feeds, crashes.feed)}
         self.relay = relay_types.FeedRelay(
             board,
             self.own_id,
@@ -294,7 +298,10 @@
         if changes is not None:
             if self._ages(self.loop.time())[name] <= SOURCE_LOST_AGE_S:
                 self.sink.source_regained(name)
-            self.decoder.apply(name, changes)
+            if name == self.crashes.feed:
+                self.crashes.apply(changes)
+            else:
+                self.decoder.apply(name, changes)
         if feed.copy.through != before:
             self.relay.announce()
 
--- a/packages/entry/src/dragonflyslip_entry/gateway/handling.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/handling.py
@@ -18,6 +18,7 @@
 from dragonflyslip_entry.gateway import adapters
 from dragonflyslip_entry.gateway import board as board_types
 from dragonflyslip_entry.gateway import calls
+from dragonflyslip_entry.gateway import crash_reports
 from dragonflyslip_entry.gateway import metrics
 from dragonflyslip_entry.gateway import probing
 from dragonflyslip_entry.gateway import repeating
@@ -69,8 +70,10 @@
         sender: sending.Sender,
         dialect: adapters.Dialect,
         gateway_metrics: metrics.GatewayMetrics,
+        crashes: crash_reports.CrashReporter,
     ):
         self.board = board
+        self.crashes = crashes
         self.target_selector = target_selector
         self.sender = sender
         self.repeater = repeating.Repeater(board, target_selector, sender)
@@ -260,6 +263,10 @@
         excluded: set[str] = set()
         unwritten = 0
         while True:
+            refused_s = await self.crashes.refused_for_s(call, body)
+            if refused_s is not None:
+                call.reason = 'crashes-targets'
+                return self._final_error(call, refused_s)
             probed = await self.target_selector.choose(
                 call.service, excluded, self._prefers_local(call)
             )
@@ -318,9 +325,13 @@
     def _prefers_local(self, call: calls.Call) -> bool:
         return call.route.kind is manifest_types.RouteKind.UPLOAD
 
-    def _final_error(self, call: calls.Call) -> ErrorResponse:
+    def _final_error(
+        self, call: calls.Call, retry_after_s: float | None = None
+    ) -> ErrorResponse:
         if call.may_have_run:
             return ErrorResponse(502, call.reason)
+        if retry_after_s is not None:
+            return ErrorResponse(503, call.reason, math.ceil(retry_after_s))
         now = self.loop.time()
         retry_after_s = admission.retry_after_s(
             call.route.target_latency_s,
--- a/packages/entry/src/dragonflyslip_entry/gateway/probing.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/probing.py
@@ -167,17 +167,8 @@
         after its response, a new one is opened for the request. None if the
         connection broke before, or if another target answered.
         """
-        self.board.count('asks')
-        request = http_connection.Request(
-            'GET',
-            path,
-            multidict.CIMultiDict({'Host': f'{target.host}:{target.port}'}),
-        )
         try:
-            response = await connection.send(
-                request, http_connection.Attempt(_allow), PROBE_TIMEOUT_S
-            )
-            await connection.read_body(response, MAX_HEALTH_BODY_BYTES)
+            response = await self._ask(connection, target, path)
         except errors.OverlongResponseError:
             # Another connection would get the same response.
             connection.close()
@@ -207,6 +198,44 @@
         connection.set_idle()
         return ProbedTarget(target, pool, connection, reading)
 
+    async def identify(
+        self, target: directory.Registration, path: str
+    ) -> str | None:
+        """Return the id of the target that now listens at an address.
+
+        :param path: path of the health request.
+        :return: None if its health response does not state one.
+        :raises OSError: if the connection fails or the target is silent.
+        :raises ClientError: as :meth:`http_connection.HttpConnection.send`.
+        """
+        async with asyncio.timeout(PROBE_TIMEOUT_S):
+            connection = await self.pools.get_or_create(target).open()
+            try:
+                response = await self._ask(connection, target, path)
+            finally:
+                connection.close()
+        reading = self.dialect.parse_health(response.status, response.headers)
+        return reading.target_id
+
+    async def _ask(
+        self,
+        connection: http_connection.HttpConnection,
+        target: directory.Registration,
+        path: str,
+    ) -> http_connection.Response:
+        """Send a health request and return its response, read whole."""
+        self.board.count('asks')
+        request = http_connection.Request(
+            'GET',
+            path,
+            multidict.CIMultiDict({'Host': f'{target.host}:{target.port}'}),
+        )
+        response = await connection.send(
+            request, http_connection.Attempt(_allow), PROBE_TIMEOUT_S
+        )
+        await connection.read_body(response, MAX_HEALTH_BODY_BYTES)
+        return response
+
 
 def _allow(now: float) -> None:
     """Allow every probe to be sent."""
--- a/packages/entry/src/dragonflyslip_entry/gateway/repeating.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/repeating.py
@@ -67,7 +67,12 @@
         """
         started = self.loop.time()
         load = self.board.route_load_of(call.service.name, call.route.kind)
-        if body is not None or not call.route.kind.repeatable:
+        if (
+            body is not None
+            or not call.route.kind.repeatable
+            # It may have crashed a target, so it goes to one at a time.
+            or self.sender.crashes.is_known(call)
+        ):
             outcome = await self.sender.send(call, probed, body)
             self._record_latency(call, load, probed, outcome, started)
             return probed, outcome
--- a/packages/entry/src/dragonflyslip_entry/gateway/sending.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/sending.py
@@ -7,6 +7,7 @@
 from dragonflyslip_entry.gateway import adapters
 from dragonflyslip_entry.gateway import board as board_types
 from dragonflyslip_entry.gateway import calls
+from dragonflyslip_entry.gateway import crash_reports
 from dragonflyslip_entry.gateway import probing
 from dragonflyslip_entry import http_connection
 from dragonflyslip_entry import logs
@@ -41,6 +42,11 @@
         """Whether the target responded with a server error."""
         return self.response.status >= 500
 
+    @property
+    def succeeded(self) -> bool:
+        """Whether the target ran the request successfully."""
+        return 200 <= self.response.status < 300
+
 
 @dataclasses.dataclass(frozen=True)
 class NotRun:
@@ -66,10 +72,14 @@
     """Sends requests on connections on which a target answered a probe."""
 
     def __init__(
-        self, board: board_types.GatewayBoard, dialect: adapters.Dialect
+        self,
+        board: board_types.GatewayBoard,
+        dialect: adapters.Dialect,
+        crashes: crash_reports.CrashReporter,
     ):
         self.board = board
         self.dialect = dialect
+        self.crashes = crashes
         self.loop = asyncio.get_running_loop()
 
     async def send(
@@ -83,6 +93,7 @@
         The connection is given back or closed, unless the response is
         incomplete: then the calling code must call :meth:`release`.
         """
+        depth = self.crashes.depth(call, body)
         standing = self.board.standing_of(probed.target.target_id)
         standing.unseen += 1
         outcome: SendOutcome | None = None
@@ -109,6 +120,9 @@
                 identity=calls.identity_of(call, body),
                 reason=outcome.reason,
             )
+            await self.crashes.response_lost(call, body, probed.target, depth)
+        elif isinstance(outcome, Answered) and outcome.succeeded:
+            self.crashes.succeeded(call, body)
         return outcome
 
     def release(self, probed: probing.ProbedTarget, reusable: bool) -> None:
--- a/packages/entry/src/dragonflyslip_entry/gateway/target_selection.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/target_selection.py
@@ -8,10 +8,8 @@
 from dragonflyslip_core import directory
 from dragonflyslip_core import manifest as manifest_types
 from dragonflyslip_core import placement
-from dragonflyslip_entry.gateway import adapters
 from dragonflyslip_entry.gateway import board as board_types
 from dragonflyslip_entry.gateway import probing
-from dragonflyslip_entry.gateway import target_pools
 
 # Targets probed for one request in one round, and in the first round when the
 # probe budget is used up.
@@ -43,19 +41,13 @@
 
 
 class TargetSelector:
-    """Probes targets and chooses the cheapest one that answers.
-
-    :param dialect: parses health responses.
-    """
+    """Probes targets and chooses the cheapest one that answers."""
 
     def __init__(
-        self,
-        board: board_types.GatewayBoard,
-        pools: target_pools.TargetPools,
-        dialect: adapters.Dialect,
+        self, board: board_types.GatewayBoard, prober: probing.Prober
     ):
         self.board = board
-        self.prober = probing.Prober(board, pools, dialect)
+        self.prober = prober
         self.loop = asyncio.get_running_loop()
         self._subsets: dict[str, frozenset[str]] = {}
         self._subsets_generation = -1
--- a/tests/adapter/test_crashing_requests.py
+++ b/tests/adapter/test_crashing_requests.py
@@ -3,9 +3,13 @@
 import asyncio
 import itertools
 
+import pytest
+
+import dragonflyslip_adapter
 from dragonflyslip_emulator import faults
 from dragonflyslip_emulator import store as store_types
 
+CRASHES_TOPIC = dragonflyslip_adapter.Adapter.crashes_feed
 TARGETS = 8
 RESTART_AFTER_S = 0.3
 KILLER = '/safe/killer'
@@ -174,3 +178,39 @@
         for target in platform.targets:
             target.faults.clear()
         assert (await platform.call('/safe/1')).status == 200
+
+
+class TestCrashRecords:
+    KEY = 'a' * 32 + '/' + 'b' * 16
+
+    @pytest.mark.parametrize(
+        'value',
+        [
+            b'[' * 100_000,
+            b'{"depth":1e999,"entry":"edge-1","at_ms":1}',
+            b'{"depth":1,"entry":"edge-1","at_ms":' + b'9' * 5_000 + b'}',
+            b'\xff\xfe',
+        ],
+    )
+    async def test_odd_record_is_skipped(self, platform, value):
+        """Guards against a record of another writer that ends gateways."""
+        await platform.add_target()
+        await platform.publish()
+        await start_gateways(platform, 1)
+        await platform.store.put(CRASHES_TOPIC, self.KEY, value)
+        counters = platform.gateway.board.counters
+        await platform.until(lambda: counters['skipped_records'] == 1)
+        assert (await platform.call()).status == 200
+
+    async def test_outdated_record_is_deleted(self, platform):
+        """Guards against records that stay when their writer is gone."""
+        await platform.publish()
+        await platform.store.put(
+            CRASHES_TOPIC,
+            self.KEY,
+            {'depth': 1, 'entry': 'edge-1', 'at_ms': 1},
+        )
+        await start_gateways(platform, 1)
+        newest = platform.store.topics[CRASHES_TOPIC].newest
+        await platform.until(lambda: not newest)
+        assert len(platform.gateway.board.request_crashes) == 0
