Keep crashes of targets in the topic of the gateways

All gateways now copy the topic in which they register; records of crashes have keys that begin with 'crash/', which no name of a gateway contains. The tests of crashing requests, relays and topology pass.

--- a/packages/entry/src/dragonflyslip_entry/gateway/adapters.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/adapters.py
@@ -171,15 +171,13 @@
 
     :ivar feeds: feeds of manifests, failure domains taken out of service,
         and targets.
-    :ivar entries_feed: feed in which the gateways register themselves.
-    :ivar crashes_feed: feed in which the gateways record the requests that
-        were in flight at crashes of targets.
+    :ivar entries_feed: feed in which the gateways register themselves and
+        record the requests that were in flight at crashes of targets.
     """
 
     dialect: Dialect
     feeds: tuple[str, ...]
     entries_feed: str
-    crashes_feed: str
 
     def open_log(self, store_url: str) -> RecordLog:
         """Return the platform's logs without reading anything yet."""
--- a/packages/entry/src/dragonflyslip_entry/gateway/crash_reports.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/crash_reports.py
@@ -1,7 +1,8 @@
 """Finds out which requests crash targets, and refuses them.
 
-The gateways exchange the crashes as records of a feed. A record's key is the
-identity of the request and a digest of the target's process.
+The gateways exchange the crashes as records of the feed in which they also
+register. A record's key holds the identity of the request and a digest of the
+target's process.
 """
 
 import asyncio
@@ -24,6 +25,8 @@
 from dragonflyslip_entry import http_connection
 from dragonflyslip_entry import logs
 
+# Begins the keys of crashes; names of gateways do not contain a slash.
+KEY_PREFIX = 'crash/'
 # A target whose connection was lost is asked so often whether it still runs.
 CONFIRM_ATTEMPTS = 3
 CONFIRM_PAUSE_S = 0.1
@@ -154,15 +157,20 @@
             self._write(crash, None)
 
     def apply(self, page: feeds.FeedPage) -> None:
-        """Apply records of the feed."""
+        """Apply the records of the feed that are crashes."""
+        crashes = [
+            record
+            for record in page.records
+            if record.key.startswith(KEY_PREFIX)
+        ]
         if page.complete:
-            listed = [self._decode(record) for record in page.records]
+            listed = [self._decode(record) for record in crashes]
             self.crashes.replace(
                 [item for item in listed if item is not None],
                 self.loop.time(),
             )
             return
-        for record in page.records:
+        for record in crashes:
             self._apply_change(record)
 
     def expire(self, deletes: bool) -> None:
@@ -248,7 +256,7 @@
         """Write a record; try again until the store accepts it."""
         while True:
             outcome = await self.log.append(
-                self.feed, '/'.join(crash.key), value
+                self.feed, KEY_PREFIX + '/'.join(crash.key), value
             )
             if isinstance(outcome, result.Success):
                 return
@@ -258,8 +266,7 @@
 
     def _apply_change(self, record: feeds.FeedRecord) -> None:
         if record.value is None:
-            identity, _, life = record.key.partition('/')
-            self.crashes.remove(identity, life)
+            self.crashes.remove(*_parse_key(record.key))
             return
         decoded = self._decode(record)
         if decoded is not None:
@@ -272,7 +279,7 @@
         """Return a crash and its age in seconds, None if it is malformed."""
         if record.value is None:
             return None
-        identity, _, life = record.key.partition('/')
+        identity, life = _parse_key(record.key)
         try:
             value = _decode(record.value)
         except (msgspec.DecodeError, RecursionError) as error:
@@ -288,6 +295,12 @@
         return crash, age_s
 
 
+def _parse_key(key: str) -> tuple[str, str]:
+    """Return the identity and the digest of the target's process."""
+    identity, _, life = key.removeprefix(KEY_PREFIX).partition('/')
+    return identity, life
+
+
 def _life_of(target: directory.Registration) -> str:
     # Ids have no maximum length, while keys of records have one.
     fields = (target.target_id, str(target.started_at_ms))
--- a/packages/entry/src/dragonflyslip_entry/gateway/daemon.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/daemon.py
@@ -70,7 +70,7 @@
         self.log = adapter.open_log(options.store_url)
         prober = probing.Prober(self.board, self.pools, self.dialect)
         self.crashes = crash_reports.CrashReporter(
-            self.board, prober, self.log, adapter.crashes_feed, time.time
+            self.board, prober, self.log, adapter.entries_feed, time.time
         )
         self.feeds = feeds.FeedController(
             self.board,
--- a/packages/entry/src/dragonflyslip_entry/gateway/feeds.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/feeds.py
@@ -105,7 +105,9 @@
         self.endpoint = endpoint
         self.loop = asyncio.get_running_loop()
         self.read_decision = provider_types.ReadDecision()
-        self.feeds = {feed: _Feed() for feed in (*adapter.feeds, crashes.feed)}
+        self.feeds = {
+            feed: _Feed() for feed in (*adapter.feeds, self.entries_feed)
+        }
         self.relay = relay_types.FeedRelay(
             board,
             self.own_id,
@@ -169,8 +171,9 @@
                 case result.Failure(error):
                     logs.info('registration failed', reason=error.message)
             await asyncio.sleep(random.uniform(RETRY_MIN_S, RETRY_MAX_S))
-        older = self._older_gateways(page, own.offset)
-        self.board.fleet.record_count(len(page.records), self.loop.time())
+        gateways = [item for item in page.records if _is_gateway(item)]
+        older = self._older_gateways(gateways, own.offset)
+        self.board.fleet.record_count(len(gateways), self.loop.time())
         logs.info('registered', order=own.offset, older=len(older))
         self.registered = True
         self.read_decision = provider_types.ReadDecision()
@@ -178,10 +181,10 @@
         self._update(self.loop.time())
 
     def _older_gateways(
-        self, page: feeds.FeedPage, own_offset: int
+        self, gateways: list[feeds.FeedRecord], own_offset: int
     ) -> list[provider_types.Provider]:
         found = []
-        for record in page.records:
+        for record in gateways:
             if record.offset >= own_offset or record.value is None:
                 continue
             try:
@@ -298,7 +301,7 @@
         if changes is not None:
             if self._ages(self.loop.time())[name] <= SOURCE_LOST_AGE_S:
                 self.sink.source_regained(name)
-            if name == self.crashes.feed:
+            if name == self.entries_feed:
                 self.crashes.apply(changes)
             else:
                 self.decoder.apply(name, changes)
@@ -306,6 +309,10 @@
             self.relay.announce()
 
 
+def _is_gateway(record: feeds.FeedRecord) -> bool:
+    return not record.key.startswith(crash_reports.KEY_PREFIX)
+
+
 def _find_record(
     page: feeds.FeedPage, key: str, value: bytes
 ) -> feeds.FeedRecord | None:
--- a/tests/adapter/test_crashing_requests.py
+++ b/tests/adapter/test_crashing_requests.py
@@ -9,7 +9,7 @@
 from dragonflyslip_emulator import faults
 from dragonflyslip_emulator import store as store_types
 
-CRASHES_TOPIC = dragonflyslip_adapter.Adapter.crashes_feed
+OWN_TOPIC = dragonflyslip_adapter.Adapter.entries_feed
 TARGETS = 8
 RESTART_AFTER_S = 0.3
 KILLER = '/safe/killer'
@@ -181,7 +181,7 @@
 
 
 class TestCrashRecords:
-    KEY = 'a' * 32 + '/' + 'b' * 16
+    KEY = 'crash/' + 'a' * 32 + '/' + 'b' * 16
 
     @pytest.mark.parametrize(
         'value',
@@ -197,7 +197,7 @@
         await platform.add_target()
         await platform.publish()
         await start_gateways(platform, 1)
-        await platform.store.put(CRASHES_TOPIC, self.KEY, value)
+        await platform.store.put(OWN_TOPIC, self.KEY, value)
         counters = platform.gateway.board.counters
         await platform.until(lambda: counters['skipped_records'] == 1)
         assert (await platform.call()).status == 200
@@ -206,11 +206,11 @@
         """Guards against records that stay when their writer is gone."""
         await platform.publish()
         await platform.store.put(
-            CRASHES_TOPIC,
+            OWN_TOPIC,
             self.KEY,
             {'depth': 1, 'entry': 'edge-1', 'at_ms': 1},
         )
         await start_gateways(platform, 1)
-        newest = platform.store.topics[CRASHES_TOPIC].newest
-        await platform.until(lambda: not newest)
+        newest = platform.store.topics[OWN_TOPIC].newest
+        await platform.until(lambda: self.KEY not in newest)
         assert len(platform.gateway.board.request_crashes) == 0
