Keep to the limits that targets state for all gateways together

Callers saw nothing; targets in need got more than they had said they take.

Cause: no gateway read the limit. An even share for each would not do: 18 gateways that may each send one request at once exceed a limit of 1.2 a second, which allows 12 requests in 4 s.

Change: limits are read from health answers and responses. Two gateways, and one more for each whole request a second, send to such a target; they are chosen by rendezvous hashing from the registered gateways. Each has an even part, saves up one request and half a second of its part, and counts in the step of the write. Others probe one limited target for each request to learn of the end of its limit.

--- a/packages/core/src/dragonflyslip_core/placement.py
+++ b/packages/core/src/dragonflyslip_core/placement.py
@@ -57,12 +57,15 @@
     :param healthy: whether the target reports itself as healthy.
     :param load: its load; None if not reported.
     :param cold_s: seconds until the target is warm and can take full load.
+    :param limit: requests a second that the target takes from all entries
+        together; None if it states no limit.
     """
 
     target_id: str | None
     healthy: bool
     load: LoadReading | None
     cold_s: float
+    limit: float | None = None
 
 
 @dataclasses.dataclass
@@ -193,11 +196,12 @@
     return heapq.nsmallest(
         size,
         targets,
-        key=lambda item: _rendezvous_hash(entry_name, item.target_id),
+        key=lambda item: rendezvous_hash(entry_name, item.target_id),
     )
 
 
-def _rendezvous_hash(entry_name: str, target_id: str) -> bytes:
+def rendezvous_hash(entry_name: str, target_id: str) -> bytes:
+    """Return a value by which entries or targets are ranked for each other."""
     text = f'{entry_name}\n{target_id}'.encode()
     return hashlib.blake2b(text, digest_size=8).digest()
 
--- a/packages/entry/src/dragonflyslip_entry/gateway/adapters.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/adapters.py
@@ -41,6 +41,8 @@
     :param wrong_target: whether the request reached another target than the
         one it was meant for.
     :param load: load of the target, if stated.
+    :param limit: requests a second that the target takes from all gateways
+        together, if stated.
     """
 
     request_id: str | None
@@ -48,6 +50,7 @@
     not_run: bool
     wrong_target: bool
     load: placement.LoadReading | None
+    limit: float | None = None
 
 
 class Dialect(typing.Protocol):
--- a/packages/entry/src/dragonflyslip_entry/gateway/board.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/board.py
@@ -11,6 +11,8 @@
 from dragonflyslip_core import placement
 from dragonflyslip_core import providers
 from dragonflyslip_core import request_crashes
+from dragonflyslip_core import target_limits
+from dragonflyslip_entry import logs
 
 
 @dataclasses.dataclass
@@ -66,6 +68,7 @@
     def __post_init__(self):
         self.fleet = providers.FleetSize(self.entries)
         self.request_crashes = request_crashes.RequestCrashes(self.name)
+        self.target_limits = target_limits.TargetLimits(self.name, self.rng)
         self.cold_pacer = pacing.ColdPacer(self.entries)
         self.probe_budget = pacing.HealthProbeBudget(
             self.ask_rate, self.entries
@@ -116,7 +119,20 @@
             load = self.route_loads[service, kind] = admission.RouteLoad()
         return load
 
+    def record_limit(
+        self,
+        target_id: str,
+        limit: float | None,
+        source: target_limits.Source,
+        now: float,
+    ) -> None:
+        """Record the limit in a target's response; log its start and end."""
+        if self.target_limits.record(target_id, limit, source, now):
+            self.count('target_limits')
+            logs.request('target limit', target=target_id, limit=limit)
+
     def forget_target(self, target_id: str) -> None:
         """Delete the state of a target that is gone."""
         self.standings.pop(target_id, None)
         self.cold_pacer.forget(target_id)
+        self.target_limits.forget(target_id)
--- a/packages/entry/src/dragonflyslip_entry/gateway/feeds.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/feeds.py
@@ -116,6 +116,7 @@
             self._ages,
         )
         self.registered = False
+        self._gateways: set[str] = set()
         self._must_read = asyncio.Event()
 
     async def run(self) -> None:
@@ -302,12 +303,36 @@
             if self._ages(self.loop.time())[name] <= SOURCE_LOST_AGE_S:
                 self.sink.source_regained(name)
             if name == self.entries_feed:
+                self._apply_gateways(changes)
                 self.crashes.apply(changes)
             else:
                 self.decoder.apply(name, changes)
         if feed.copy.through != before:
             self.relay.announce()
 
+    def _apply_gateways(self, page: feeds.FeedPage) -> None:
+        """Apply registrations of gateways."""
+        if page.complete:
+            self._gateways.clear()
+        for record in page.records:
+            if not _is_gateway(record):
+                continue
+            if _is_valid_entry(record):
+                self._gateways.add(record.key)
+            else:
+                self._gateways.discard(record.key)
+        self.board.target_limits.set_entries(frozenset(self._gateways))
+
+
+def _is_valid_entry(record: feeds.FeedRecord) -> bool:
+    if record.value is None:
+        return False
+    try:
+        _decode_entry(record.value)
+    except (msgspec.DecodeError, RecursionError):
+        return False
+    return True
+
 
 def _is_gateway(record: feeds.FeedRecord) -> bool:
     return not record.key.startswith(crash_reports.KEY_PREFIX)
--- a/packages/entry/src/dragonflyslip_entry/gateway/probing.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/probing.py
@@ -12,6 +12,7 @@
 from dragonflyslip_core import directory
 from dragonflyslip_core import errors
 from dragonflyslip_core import placement
+from dragonflyslip_core import target_limits
 from dragonflyslip_entry.gateway import adapters
 from dragonflyslip_entry.gateway import board as board_types
 from dragonflyslip_entry.gateway import target_pools
@@ -140,6 +141,12 @@
             standing.skip_until = now + PROBE_PAUSE_S
         else:
             standing.cold_until = now + probed.reading.cold_s
+            self.board.record_limit(
+                target.target_id,
+                probed.reading.limit,
+                target_limits.Source.HEALTH,
+                now,
+            )
 
     def _record_overlong(
         self,
--- a/packages/entry/src/dragonflyslip_entry/gateway/sending.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/sending.py
@@ -4,6 +4,7 @@
 import contextlib
 import dataclasses
 
+from dragonflyslip_core import target_limits
 from dragonflyslip_entry.gateway import adapters
 from dragonflyslip_entry.gateway import board as board_types
 from dragonflyslip_entry.gateway import calls
@@ -105,8 +106,8 @@
             outcome = (
                 ResponseLost(reason) if attempt.written else NotRun(reason)
             )
-        except _TargetWithdrawn:
-            outcome = NotRun('target-withdrawn')
+        except _NotSent as error:
+            outcome = NotRun(error.reason)
         finally:
             standing.unseen -= 1
             if not (isinstance(outcome, Answered) and not outcome.complete):
@@ -137,7 +138,9 @@
             if not self.board.directory.is_usable(
                 probed.target.target_id, probed.target.service
             ):
-                raise _TargetWithdrawn
+                raise _NotSent('target-withdrawn')
+            if not self.board.target_limits.take(probed.target.target_id, now):
+                raise _NotSent('target-limited')
             call.sent_to.append(probed.target.target_id)
 
         return check
@@ -168,6 +171,7 @@
                 response.status, response.headers
             )
             if metadata.request_id == call.request_id:
+                self._record_limit(probed, metadata)
                 if metadata.not_run:
                     return await self._read_refusal(
                         call, probed.connection, response, metadata
@@ -181,6 +185,19 @@
             response = await probed.connection.read_head(call.method)
         return ResponseLost('response to another request')
 
+    def _record_limit(
+        self,
+        probed: probing.ProbedTarget,
+        metadata: adapters.ResponseMetadata,
+    ) -> None:
+        if not metadata.wrong_target:
+            self.board.record_limit(
+                probed.target.target_id,
+                metadata.limit,
+                target_limits.Source.REQUEST,
+                self.loop.time(),
+            )
+
     async def _read_refusal(
         self,
         call: calls.Call,
@@ -249,5 +266,9 @@
     return repr(error)[:MAX_ERROR_TEXT_LENGTH]
 
 
-class _TargetWithdrawn(Exception):
-    """The target may no longer be used; nothing was written to it."""
+class _NotSent(Exception):
+    """The target may not get the request now; nothing was written to it."""
+
+    def __init__(self, reason: str):
+        super().__init__(reason)
+        self.reason = reason
--- a/packages/entry/src/dragonflyslip_entry/gateway/target_selection.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/target_selection.py
@@ -8,6 +8,7 @@
 from dragonflyslip_core import directory
 from dragonflyslip_core import manifest as manifest_types
 from dragonflyslip_core import placement
+from dragonflyslip_core import target_limits
 from dragonflyslip_entry.gateway import board as board_types
 from dragonflyslip_entry.gateway import probing
 
@@ -70,7 +71,10 @@
         taken: probing.ProbedTarget | None = None
         rounds = 0
         try:
-            while batch := self._sample(rules, tried, prefer_local, chosen):
+            while batch := (
+                self._sample(rules, tried, prefer_local, chosen)
+                + self._sample_limited(rules, tried, rounds)
+            ):
                 tried.update(target.target_id for target in batch)
                 probed += await self.prober.probe_all(batch, rules.health_path)
                 chosen = self._choose_best(probed, prefer_local)
@@ -80,12 +84,28 @@
                 ):
                     break
             taken = chosen or self._choose_fallback(probed, rules)
-            return taken or NoTarget('targets-busy' if probed else 'no-target')
+            return taken or NoTarget(self._reason(rules, probed))
         finally:
             for other in probed:
                 if other is not taken:
                     other.pool.give_back(other.connection)
 
+    def _reason(
+        self,
+        rules: manifest_types.ServiceRules,
+        probed: list[probing.ProbedTarget],
+    ) -> str:
+        """Return why there is no target."""
+        if probed:
+            return 'targets-busy'
+        now = self.loop.time()
+        limits = self.board.target_limits
+        limited = any(
+            limits.limit(target.target_id, now) is not None
+            for target in self.board.directory.usable_targets(rules.name)
+        )
+        return 'targets-limited' if limited else 'no-target'
+
     def _is_good(self, chosen: probing.ProbedTarget) -> bool:
         option = self._option(chosen, False)
         return placement.cost(option, self.loop.time()) <= ACCEPTABLE_COST
@@ -108,6 +128,7 @@
             for target in self.board.directory.usable_targets(rules.name)
             if target.target_id not in tried
             and self.board.standing_of(target.target_id).skip_until <= now
+            and self.board.target_limits.allows(target.target_id, now)
         ]
         warm = [
             target
@@ -134,6 +155,35 @@
             self.board.rng,
         )
 
+    def _sample_limited(
+        self,
+        rules: manifest_types.ServiceRules,
+        tried: set[str],
+        rounds: int,
+    ) -> list[directory.RegisteredTarget]:
+        """Return the target whose limit was stated longest ago, if any.
+
+        It gets no request, but its answer shows whether the limit still
+        holds. One is probed for each request.
+        """
+        now = self.loop.time()
+        limits = self.board.target_limits
+        if rounds > 0 or not limits.has_any:
+            return []
+        limited = [
+            target
+            for target in self.board.directory.usable_targets(rules.name)
+            if target.target_id not in tried
+            and not limits.allows(target.target_id, now)
+            and limits.age_s(target.target_id, now) >= target_limits.REFRESH_S
+        ]
+        longest = max(
+            limited,
+            key=lambda target: limits.age_s(target.target_id, now),
+            default=None,
+        )
+        return [] if longest is None else [longest]
+
     def _subset(self, service: str) -> frozenset[str]:
         """Return the ids of the targets that are probed first."""
         directory = self.board.directory
@@ -206,6 +256,8 @@
         # The directory may have changed during the probe.
         return self.board.directory.is_usable(
             item.target.target_id, item.target.service
+        ) and self.board.target_limits.allows(
+            item.target.target_id, self.loop.time()
         )
 
     def _option(
