Check the numbers in responses of the store

An infinite end of a topic was taken as the offset from which to read on, for good, and an infinite offset of a record or an append raised an exception that ended the task that reads or registers, and with it the gateway. Negative, huge and textual offsets and keys of another type were taken as well.

Cause: the JSON was read into bare maps, and int() raises OverflowError for infinity, which was not expected.

--- a/tests/adapter/test_endless_store.py
+++ b/tests/adapter/test_endless_store.py
@@ -40,6 +40,34 @@
         await store.close()
 
 
+@pytest.fixture
+async def serve_body():
+    """Yield a function that starts a store with one response.
+
+    It returns the URL of the store.
+    """
+    servers = []
+
+    async def start(status, body):
+        async def serve(reader, writer):
+            await reader.readuntil(b'\r\n\r\n')
+            writer.write(
+                b'HTTP/1.1 %d Status\r\nContent-Length: %d\r\n\r\n'
+                % (status, len(body))
+            )
+            writer.write(body)
+            writer.close()
+
+        server = await asyncio.start_server(serve, '127.0.0.1', 0)
+        servers.append(server)
+        port = server.sockets[0].getsockname()[1]
+        return f'http://127.0.0.1:{port}'
+
+    yield start
+    for server in servers:
+        server.close()
+
+
 async def _start_server(part, status):
     server = emulator.EndlessServer(part, status)
     await server.start()
@@ -122,24 +150,13 @@
         assert sum(len(value) for value in values) <= len(body)
         server.close()
 
-    async def test_deeply_nested_response_is_a_failure(self, open_store):
+    async def test_deeply_nested_response_is_a_failure(
+        self, serve_body, open_store
+    ):
         # Guards against a response that ends the gateway.
-        body = b'[' * 100_000
-
-        async def serve(reader, writer):
-            await reader.readuntil(b'\r\n\r\n')
-            writer.write(
-                b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n' % len(body)
-            )
-            writer.write(body)
-            writer.close()
-
-        server = await asyncio.start_server(serve, '127.0.0.1', 0)
-        port = server.sockets[0].getsockname()[1]
-        store = open_store(f'http://127.0.0.1:{port}')
+        store = open_store(await serve_body(200, b'[' * 100_000))
         outcome = await store.newest('keyed.op')
         assert isinstance(outcome, result.Failure)
-        server.close()
 
 
 class TestPaging:
@@ -149,3 +166,57 @@
         outcome = await open_store(platform.store.url).newest('keyed.op')
         assert isinstance(outcome, result.Failure)
         assert platform.store.requests <= 101
+
+
+ODD_PAGES = {
+    'infinite-end': b'{"items":[],"more":false,"end_offset":1e999}',
+    'huge-end': b'{"items":[],"more":false,"end_offset":%b}' % (b'9' * 40),
+    'negative-end': b'{"items":[],"more":false,"end_offset":-1}',
+    'text-end': b'{"items":[],"more":false,"end_offset":"1"}',
+    'no-end': b'{"items":[],"more":false}',
+    'no-items-but-more': b'{"items":[],"more":true,"end_offset":1}',
+    'items-of-another-type': b'{"items":{},"more":false,"end_offset":1}',
+    'infinite-offset': b'{"items":[{"key":"a","value":"","offset":1e999}],'
+    b'"more":false,"end_offset":1}',
+    'key-of-another-type': b'{"items":[{"key":[1],"value":"","offset":0}],'
+    b'"more":false,"end_offset":1}',
+    'value-no-base64': b'{"items":[{"key":"a","value":"\xc3\xa9","offset":0}],'
+    b'"more":false,"end_offset":1}',
+    'not-utf-8': b'{"items":[{"key":"\xff","value":"","offset":0}],'
+    b'"more":false,"end_offset":1}',
+}
+
+
+class TestOddNumbers:
+    @pytest.mark.parametrize('name', ODD_PAGES)
+    async def test_odd_page_is_a_failure(self, serve_body, open_store, name):
+        """Guards against a page that ends the task that reads the store."""
+        store = open_store(await serve_body(200, ODD_PAGES[name]))
+        outcome = await store.newest('keyed.op')
+        assert isinstance(outcome, result.Failure)
+
+    @pytest.mark.parametrize('offset', [b'1e999', b'"1"', b'null', b'-1'])
+    async def test_odd_offset_of_an_append_is_a_failure(
+        self, serve_body, open_store, offset
+    ):
+        """Guards against an offset that ends the registration."""
+        body = b'{"offset":%b,"end_offset":1}' % offset
+        store = open_store(await serve_body(200, body))
+        outcome = await store.append('keyed.op', 'key', b'value')
+        assert isinstance(outcome, result.Failure)
+
+    @pytest.mark.parametrize('body', [b'[]', b'{', b'{"first_offset":1e999}'])
+    async def test_odd_end_of_history_is_a_failure(
+        self, serve_body, open_store, body
+    ):
+        store = open_store(await serve_body(410, body))
+        outcome = await store.read('keyed.op', 0, 0.0)
+        assert isinstance(outcome, result.Failure)
+
+    async def test_page_of_huge_offsets_is_read(self, serve_body, open_store):
+        """Guards against the lengths of records that exceed their page."""
+        page = b'\xff' * 16 + b'\xff\xff\xff\xff' + b'rest'
+        store = open_store(await serve_body(200, page))
+        outcome = await store.read('keyed.op', 7, 0.0)
+        assert outcome.unwrap().records == ()
+        assert outcome.unwrap().through == 7
