Do not believe a refusal that may be an earlier one, written again

A target that writes an earlier refusal once more on a kept connection was believed if a caller sent the same request id again: the caller was told 503 although both targets of the test had run the request. For other ids, uploads and health requests included, such a refusal was ignored before.

Cause: a refusal is matched by the request id alone. Change: a connection keeps the ids that were refused on it and carries none of them again; it is closed after 64 of them.

--- a/packages/entry/src/dragonflyslip_entry/gateway/sending.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/sending.py
@@ -22,6 +22,8 @@
 MAX_FOREIGN_BODY_BYTES = 262_144
 MAX_REFUSAL_BODY_BYTES = 65_536
 REFUSAL_BODY_TIMEOUT_S = 0.1
+# A connection with more refusals is closed, so that their ids can be kept.
+MAX_REFUSALS_PER_CONNECTION = 64
 # Characters of an error in the reason of a failure.
 MAX_ERROR_TEXT_LENGTH = 200
 
@@ -152,6 +154,12 @@
         body: calls.RequestBody | None,
         attempt: http_connection.Attempt,
     ) -> SendOutcome:
+        connection = probed.connection
+        if call.request_id in connection.refused_ids:
+            # A target that wrote that refusal once more would seem to refuse
+            # this request too.
+            connection.close()
+            return NotRun('id-refused-before')
         left_s = call.deadline_at - self.loop.time()
         marked = call.headers.copy()
         self.dialect.add_request_headers(
@@ -164,7 +172,7 @@
             None if body is None else body.stream(),
         )
         # The deadline of the call ends the wait before this timeout does.
-        response = await probed.connection.send(request, attempt, left_s + 1.0)
+        response = await connection.send(request, attempt, left_s + 1.0)
         left_bytes = MAX_FOREIGN_BODY_BYTES
         for _ in range(MAX_FOREIGN_RESPONSES):
             metadata = self.dialect.parse_response(
@@ -174,15 +182,15 @@
                 self._record_limit(probed, metadata)
                 if metadata.not_run:
                     return await self._read_refusal(
-                        call, probed.connection, response, metadata
+                        call, connection, response, metadata
                     )
                 return await self._read_response(response, metadata)
             self.board.count('foreign_responses')
-            skipped = await probed.connection.read_body(response, left_bytes)
+            skipped = await connection.read_body(response, left_bytes)
             left_bytes -= len(skipped)
             if not response.has_known_end:
                 break
-            response = await probed.connection.read_head(call.method)
+            response = await connection.read_head(call.method)
         return ResponseLost('response to another request')
 
     def _record_limit(
@@ -211,7 +219,11 @@
             await connection.read_body(
                 response, MAX_REFUSAL_BODY_BYTES, REFUSAL_BODY_TIMEOUT_S
             )
-        if not response.complete:
+        connection.refused_ids.add(call.request_id)
+        if (
+            not response.complete
+            or len(connection.refused_ids) >= MAX_REFUSALS_PER_CONNECTION
+        ):
             connection.close()
         call.refusals += 1
         return NotRun(
--- a/packages/entry/src/dragonflyslip_entry/http_connection.py
+++ b/packages/entry/src/dragonflyslip_entry/http_connection.py
@@ -103,7 +103,10 @@
 
 
 class HttpConnection:
-    """An open connection that carries one request at a time."""
+    """An open connection that carries one request at a time.
+
+    :ivar refused_ids: ids of the requests that were refused on it.
+    """
 
     def __init__(
         self,
@@ -115,6 +118,7 @@
         self.loop = loop
         self.opened_at = opened_at
         self.upload: asyncio.Task[None] | None = None
+        self.refused_ids: set[str] = set()
         self._continue_received: asyncio.Future[None] | None = None
 
     @classmethod
