Keep the text of exceptions out of responses to callers

A head of a target that ended early was answered 502 with a body that named classes of the library and quoted the target's headers. The body now has the part of the reason before its colon, such as 'connection broke'; the log line keeps the whole text.

--- a/packages/entry/src/dragonflyslip_entry/gateway/handling.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/handling.py
@@ -45,7 +45,8 @@
 class ErrorResponse(typing.NamedTuple):
     """An error response made by the gateway itself.
 
-    :param reason: short text for the body and the log.
+    :param reason: short text for the log. Callers get the part before a
+        colon: what follows is text of an exception, which may quote a target.
     :param retry_after_s: seconds after which the caller may try again; None
         if it should not.
     """
@@ -440,9 +441,8 @@
     def _error_response(
         self, request: web.BaseRequest, error_response: ErrorResponse
     ) -> web.Response:
-        response = web.Response(
-            status=error_response.status, text=f'{error_response.reason}\n'
-        )
+        text = error_response.reason.partition(':')[0]
+        response = web.Response(status=error_response.status, text=f'{text}\n')
         if error_response.retry_after_s is not None:
             response.headers['Retry-After'] = (
                 f'{error_response.retry_after_s:g}'
--- a/tests/adapter/test_cut_heads.py
+++ b/tests/adapter/test_cut_heads.py
@@ -67,6 +67,7 @@
         # It ran, so no status may state that it did not.
         assert answer.status == 502
         assert 'x-server-stamp' not in answer.headers
+        assert answer.body == b'connection broke\n'
         assert len(platform.runs()) == 1
 
     @pytest.mark.parametrize('cut', [9, 15, 30, HEAD_LENGTH - 2])
