Split the matching of requests and error responses off the handler

handling.py had 478 lines and three jobs. request_matching finds the route and service of a request, error_responses holds the gateway's own error responses. Targets without limits are no longer looked up one by one in each sample.

--- /dev/null
+++ b/packages/entry/src/dragonflyslip_entry/gateway/error_responses.py
@@ -0,0 +1,20 @@
+"""Error responses that the gateway itself makes."""
+
+import typing
+
+# Retry-After for callers of a gateway that stops: another one can serve them.
+STOPPING_RETRY_S = 0.05
+
+
+class ErrorResponse(typing.NamedTuple):
+    """An error response made by the gateway itself.
+
+    :param reason: short text for the log. Callers get the part before a
+        colon: what follows is text of an exception, which may quote a target.
+    :param retry_after_s: seconds after which the caller may try again; None
+        if it should not.
+    """
+
+    status: int
+    reason: str
+    retry_after_s: float | None = None
--- a/packages/entry/src/dragonflyslip_entry/gateway/handling.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/handling.py
@@ -19,21 +19,15 @@
 from dragonflyslip_entry.gateway import board as board_types
 from dragonflyslip_entry.gateway import calls
 from dragonflyslip_entry.gateway import crash_reports
+from dragonflyslip_entry.gateway import error_responses
 from dragonflyslip_entry.gateway import metrics
 from dragonflyslip_entry.gateway import probing
 from dragonflyslip_entry.gateway import repeating
+from dragonflyslip_entry.gateway import request_matching
 from dragonflyslip_entry.gateway import sending
 from dragonflyslip_entry.gateway import target_selection
 from dragonflyslip_entry import logs
-from dragonflyslip_entry import request_targets
-
-# Timeout of a caller that does not state one.
-DEFAULT_CALLER_TIMEOUT_S = 30.0
-# Retry-After for callers that reach a process which has just started, or whose
-# manifest lacks the service of a route.
-NO_MANIFEST_RETRY_S = 0.25
-# Retry-After for callers of a gateway that stops: another one can serve them.
-STOPPING_RETRY_S = 0.05
+
 # A send that fails before a byte is written costs the target nothing and is
 # not counted in the route's max_attempts; this limits such sends per request.
 MAX_UNWRITTEN_SENDS = 4
@@ -42,20 +36,6 @@
 _CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 
 
-class ErrorResponse(typing.NamedTuple):
-    """An error response made by the gateway itself.
-
-    :param reason: short text for the log. Callers get the part before a
-        colon: what follows is text of an exception, which may quote a target.
-    :param retry_after_s: seconds after which the caller may try again; None
-        if it should not.
-    """
-
-    status: int
-    reason: str
-    retry_after_s: float | None = None
-
-
 class RequestHandler:
     """Answers the requests of callers.
 
@@ -78,6 +58,7 @@
         self.target_selector = target_selector
         self.sender = sender
         self.repeater = repeating.Repeater(board, target_selector, sender)
+        self.matcher = request_matching.RequestMatcher(board, dialect)
         self.dialect = dialect
         self.metrics = gateway_metrics
         self.loop = asyncio.get_running_loop()
@@ -131,8 +112,8 @@
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         now = self.loop.time()
-        call = self._admit(request, now)
-        if isinstance(call, ErrorResponse):
+        call = self.matcher.match(request, now, self.stop_at)
+        if isinstance(call, error_responses.ErrorResponse):
             self.metrics.request_ended('', call.status, 0.0)
             metadata = self.dialect.parse_request(request.headers)
             logs.request(
@@ -172,23 +153,31 @@
             self.unfinished.pop(call, None)
         return await self._answer(request, call, answer)
 
-    def _timeout_response(self, call: calls.Call) -> ErrorResponse:
+    def _timeout_response(
+        self, call: calls.Call
+    ) -> error_responses.ErrorResponse:
         if not call.ends_with_stop:
             call.reason = call.reason or 'timeout'
-            return ErrorResponse(504, 'timeout')
+            return error_responses.ErrorResponse(504, 'timeout')
         call.reason = 'gateway-stopping'
         if call.may_have_run:
-            return ErrorResponse(504, call.reason)
-        return ErrorResponse(503, call.reason, STOPPING_RETRY_S)
+            return error_responses.ErrorResponse(504, call.reason)
+        return error_responses.ErrorResponse(
+            503, call.reason, error_responses.STOPPING_RETRY_S
+        )
 
-    def _body_error_response(self, call: calls.Call) -> ErrorResponse:
+    def _body_error_response(
+        self, call: calls.Call
+    ) -> error_responses.ErrorResponse:
         call.reason = 'malformed-body'
         # Targets that got a part of the body may have begun to run it.
-        return ErrorResponse(502 if call.may_have_run else 400, call.reason)
+        return error_responses.ErrorResponse(
+            502 if call.may_have_run else 400, call.reason
+        )
 
     def _fault_response(
         self, call: calls.Call, error: Exception
-    ) -> ErrorResponse:
+    ) -> error_responses.ErrorResponse:
         """Log an unexpected exception and return its error response."""
         self.board.count('program_faults')
         logs.LOGGER.error(
@@ -203,59 +192,9 @@
         manifest = self.board.manifest
         return None if manifest is None else manifest.version
 
-    def _admit(
-        self, request: web.BaseRequest, now: float
-    ) -> calls.Call | ErrorResponse:
-        if now >= self.stop_at:
-            return ErrorResponse(503, 'gateway-stopping', STOPPING_RETRY_S)
-        manifest = self.board.manifest
-        if manifest is None or not self.board.targets_listed:
-            return ErrorResponse(503, 'no-manifest', NO_MANIFEST_RETRY_S)
-        target = request_targets.RequestTarget.from_request(request)
-        if target is None:
-            return ErrorResponse(400, 'malformed-request-target')
-        path = target.path.partition('?')[0]
-        route = manifest.find_route(target.host, path)
-        if route is None:
-            return ErrorResponse(404, 'no-route')
-        limit = manifest.limits.max_body_bytes
-        if (request.content_length or 0) > limit:
-            return ErrorResponse(413, 'body-too-large')
-        service = manifest.services.get(route.choose_service(self.board.rng))
-        if service is None:
-            return ErrorResponse(503, 'unknown-service', NO_MANIFEST_RETRY_S)
-        metadata = self.dialect.parse_request(request.headers)
-        caller_timeout_s = (
-            DEFAULT_CALLER_TIMEOUT_S
-            if metadata.timeout_s is None
-            else metadata.timeout_s
-        )
-        waited_before_s = self.board.route_load_of(
-            service.name, route.kind
-        ).waited_before_s(caller_timeout_s)
-        self.board.repeat_budget_of(service.name).record_request()
-        forwarded = self._end_to_end_headers(request.headers)
-        forwarded['Host'] = target.host
-        return calls.Call(
-            request_id=metadata.request_id,
-            route=route,
-            service=service,
-            method=request.method,
-            path=target.path,
-            headers=forwarded,
-            has_body=request.body_exists,
-            arrived_at=now,
-            caller_deadline_at=now + min(caller_timeout_s, route.timeout_s),
-            stop_at=self.stop_at,
-            waited_before_s=waited_before_s,
-            priority_rank=manifest.least_urgent_priority[service.name]
-            - route.priority,
-            version=manifest.version,
-        )
-
     async def _serve(
         self, request: web.BaseRequest, call: calls.Call
-    ) -> sending.Answered | ErrorResponse | web.StreamResponse:
+    ) -> sending.Answered | error_responses.ErrorResponse | web.StreamResponse:
         body = None
         if call.has_body:
             body = calls.RequestBody(request)
@@ -286,7 +225,7 @@
             if isinstance(outcome, sending.Answered):
                 if not outcome.complete:
                     checked = self._correct_status(call, outcome)
-                    if isinstance(checked, ErrorResponse):
+                    if isinstance(checked, error_responses.ErrorResponse):
                         self.sender.release(probed, False)
                         return checked
                     return await self._stream(request, call, probed, checked)
@@ -328,11 +267,13 @@
 
     def _final_error(
         self, call: calls.Call, retry_after_s: float | None = None
-    ) -> ErrorResponse:
+    ) -> error_responses.ErrorResponse:
         if call.may_have_run:
-            return ErrorResponse(502, call.reason)
+            return error_responses.ErrorResponse(502, call.reason)
         if retry_after_s is not None:
-            return ErrorResponse(503, call.reason, math.ceil(retry_after_s))
+            return error_responses.ErrorResponse(
+                503, call.reason, math.ceil(retry_after_s)
+            )
         now = self.loop.time()
         retry_after_s = admission.retry_after_s(
             call.route.target_latency_s,
@@ -340,17 +281,21 @@
             call.caller_deadline_at - now,
             self.board.rng.random(),
         )
-        return ErrorResponse(503, call.reason, round(retry_after_s, 3))
+        return error_responses.ErrorResponse(
+            503, call.reason, round(retry_after_s, 3)
+        )
 
     async def _answer(
         self,
         request: web.BaseRequest,
         call: calls.Call,
-        answer: sending.Answered | ErrorResponse | web.StreamResponse,
+        answer: sending.Answered
+        | error_responses.ErrorResponse
+        | web.StreamResponse,
     ) -> web.StreamResponse:
         if isinstance(answer, sending.Answered):
             answer = self._correct_status(call, answer)
-        if isinstance(answer, ErrorResponse):
+        if isinstance(answer, error_responses.ErrorResponse):
             self._log_result(call, 'request failed', answer.status)
             return self._error_response(request, answer)
         if isinstance(answer, sending.Answered):
@@ -364,7 +309,7 @@
 
     def _correct_status(
         self, call: calls.Call, answer: sending.Answered
-    ) -> sending.Answered | ErrorResponse:
+    ) -> sending.Answered | error_responses.ErrorResponse:
         """Replace a status that would falsely state that nothing ran.
 
         A repeatable request may run twice, so its status is passed on.
@@ -377,7 +322,7 @@
             call.reason = (
                 f'target answered {status} although the request may have run'
             )
-            return ErrorResponse(502, call.reason)
+            return error_responses.ErrorResponse(502, call.reason)
         return answer
 
     def _relayed_response(self, answer: sending.Answered) -> web.Response:
@@ -439,7 +384,9 @@
             timeout.reschedule(call.deadline_at)
 
     def _error_response(
-        self, request: web.BaseRequest, error_response: ErrorResponse
+        self,
+        request: web.BaseRequest,
+        error_response: error_responses.ErrorResponse,
     ) -> web.Response:
         text = error_response.reason.partition(':')[0]
         response = web.Response(status=error_response.status, text=f'{text}\n')
--- /dev/null
+++ b/packages/entry/src/dragonflyslip_entry/gateway/request_matching.py
@@ -0,0 +1,90 @@
+"""Matches requests of callers to routes and services."""
+
+from aiohttp import web
+
+from dragonflyslip_entry.gateway import adapters
+from dragonflyslip_entry.gateway import board as board_types
+from dragonflyslip_entry.gateway import calls
+from dragonflyslip_entry.gateway import error_responses
+from dragonflyslip_entry import request_targets
+
+# Timeout of a caller that does not state one.
+DEFAULT_CALLER_TIMEOUT_S = 30.0
+# Retry-After for callers that reach a process which has just started, or whose
+# manifest lacks the service of a route.
+NO_MANIFEST_RETRY_S = 0.25
+
+
+class RequestMatcher:
+    """Finds the route and the service of a request."""
+
+    def __init__(
+        self, board: board_types.GatewayBoard, dialect: adapters.Dialect
+    ):
+        self.board = board
+        self.dialect = dialect
+
+    def match(
+        self, request: web.BaseRequest, now: float, stop_at: float
+    ) -> calls.Call | error_responses.ErrorResponse:
+        """Return the call of a request, or why there is none.
+
+        :param now: time of the event loop.
+        :param stop_at: when a stop ends all requests; infinite without one.
+        """
+        if now >= stop_at:
+            return error_responses.ErrorResponse(
+                503, 'gateway-stopping', error_responses.STOPPING_RETRY_S
+            )
+        manifest = self.board.manifest
+        if manifest is None or not self.board.targets_listed:
+            return error_responses.ErrorResponse(
+                503, 'no-manifest', NO_MANIFEST_RETRY_S
+            )
+        target = request_targets.RequestTarget.from_request(request)
+        if target is None:
+            return error_responses.ErrorResponse(
+                400, 'malformed-request-target'
+            )
+        path = target.path.partition('?')[0]
+        route = manifest.find_route(target.host, path)
+        if route is None:
+            return error_responses.ErrorResponse(404, 'no-route')
+        limit = manifest.limits.max_body_bytes
+        if (request.content_length or 0) > limit:
+            return error_responses.ErrorResponse(413, 'body-too-large')
+        service = manifest.services.get(route.choose_service(self.board.rng))
+        if service is None:
+            return error_responses.ErrorResponse(
+                503, 'unknown-service', NO_MANIFEST_RETRY_S
+            )
+        metadata = self.dialect.parse_request(request.headers)
+        caller_timeout_s = (
+            DEFAULT_CALLER_TIMEOUT_S
+            if metadata.timeout_s is None
+            else metadata.timeout_s
+        )
+        waited_before_s = self.board.route_load_of(
+            service.name, route.kind
+        ).waited_before_s(caller_timeout_s)
+        self.board.repeat_budget_of(service.name).record_request()
+        forwarded = calls.end_to_end_headers(
+            request.headers, self.dialect.end_to_end_headers
+        )
+        forwarded['Host'] = target.host
+        return calls.Call(
+            request_id=metadata.request_id,
+            route=route,
+            service=service,
+            method=request.method,
+            path=target.path,
+            headers=forwarded,
+            has_body=request.body_exists,
+            arrived_at=now,
+            caller_deadline_at=now + min(caller_timeout_s, route.timeout_s),
+            stop_at=stop_at,
+            waited_before_s=waited_before_s,
+            priority_rank=manifest.least_urgent_priority[service.name]
+            - route.priority,
+            version=manifest.version,
+        )
--- a/packages/entry/src/dragonflyslip_entry/gateway/target_selection.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/target_selection.py
@@ -123,12 +123,13 @@
         used up.
         """
         now = self.loop.time()
+        limits = self.board.target_limits
         candidates = [
             target
             for target in self.board.directory.usable_targets(rules.name)
             if target.target_id not in tried
             and self.board.standing_of(target.target_id).skip_until <= now
-            and self.board.target_limits.allows(target.target_id, now)
+            and (not limits.has_any or limits.allows(target.target_id, now))
         ]
         warm = [
             target
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -32,6 +32,7 @@
 _ENTRY_TESTS = 'packages/entry/tests'
 _GATEWAY = f'{_ENTRY}/gateway'
 _ADAPTER = 'platform/src/dragonflyslip_adapter'
+_CRASH_TESTS = 'tests/adapter/test_crashing_requests.py'
 _FAULT_TESTS = 'tests/adapter/test_gateway_faults.py'
 _TOPOLOGY_TESTS = 'tests/adapter/test_topology.py'
 _RELAY_TESTS = 'tests/adapter/test_relays.py'
@@ -472,10 +473,59 @@
     Mutation(
         'malformed-body-denies-a-run',
         f'{_GATEWAY}/handling.py',
-        'return ErrorResponse(502 if call.may_have_run else 400, call.reason)',
-        'return ErrorResponse(400, call.reason)',
+        '502 if call.may_have_run else 400, call.reason',
+        '400, call.reason',
         'tests/adapter/test_kept_connections.py::TestMalformedBodies',
     ),
+    Mutation(
+        'crash-chains-ignored',
+        f'{_CORE}/request_crashes.py',
+        'crash.depth >= REFUSED_DEPTH for crash in crashes',
+        'False for crash in crashes',
+        f'{_CRASH_TESTS}::TestRequestsThatCrashTargets',
+    ),
+    Mutation(
+        'crash-of-one-moment-counts',
+        f'{_CORE}/request_crashes.py',
+        'REFUSED_DEPTH = 2',
+        'REFUSED_DEPTH = 1',
+        f'{_CORE_TESTS}/test_request_crashes.py::TestRefusal',
+    ),
+    Mutation(
+        'crashes-not-read',
+        f'{_GATEWAY}/feeds.py',
+        'self.crashes.apply(changes)',
+        'pass',
+        f'{_CRASH_TESTS}::TestRequestsThatCrashTargets',
+    ),
+    Mutation(
+        'lost-connection-is-a-crash',
+        f'{_GATEWAY}/crash_reports.py',
+        'return target_id not in (None, target.target_id)',
+        'return True',
+        f'{_CRASH_TESTS}::TestRequestsThatOthersCrash',
+    ),
+    Mutation(
+        'limit-held-by-all',
+        f'{_CORE}/target_limits.py',
+        'MIN_HOLDERS = 2',
+        'MIN_HOLDERS = 1_000',
+        f'{_CORE_TESTS}/test_target_limits.py::TestFleet',
+    ),
+    Mutation(
+        'limit-not-taken-at-the-write',
+        f'{_GATEWAY}/sending.py',
+        'if not self.board.target_limits.take(',
+        'if False and not self.board.target_limits.take(',
+        'tests/adapter/test_limits.py::TestLimits',
+    ),
+    Mutation(
+        'repeated-refusal-believed',
+        f'{_GATEWAY}/sending.py',
+        'if call.request_id in connection.refused_ids:',
+        'if False:',
+        'tests/adapter/test_repeated_refusals.py',
+    ),
     Mutation(
         'encoded-body-decoded',
         f'{_ENTRY}/caller_protocol.py',
