Let a target of each soak run state a limit

A target states 0.5, 1.2 or 3 requests a second for 7 to 9 s, and the soak checks each 4 s of what gateways without a fault send it. It is not among the faults chosen at random, so plans of earlier seeds keep theirs.

--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -17,6 +17,12 @@
 COLD_LIMIT_PER_S = cluster.COLD_RATE_PER_S * 1.5 + 5
 # Requests may already be in flight when a target turns cold.
 COLD_GRACE_S = 0.3
+# A target that states a limit may get in a window this many times what it
+# allows and some requests more, once the limit was stated for some time.
+LIMIT_SETTLE_S = 3.0
+LIMIT_WINDOW_S = 4.0
+LIMIT_FACTOR = 1.5
+LIMIT_SLACK = 5
 
 
 class Checker:
@@ -48,6 +54,38 @@
         self.history.violations += finder.find_losses(runs)
         for interval in self.history.cold_intervals:
             self._check_cold_rate(interval)
+        for interval in self.history.limit_intervals:
+            self._check_limit(interval, sent)
+
+    def _check_limit(
+        self,
+        interval: history_types.LimitInterval,
+        sent: dict[str, history_types.CallerAttempt],
+    ) -> None:
+        since = interval.since + LIMIT_SETTLE_S
+        times = [
+            run.started_at
+            for target in self.targets
+            for run in target.runs
+            if run.target_id == interval.subject
+            and since < run.started_at < interval.until
+            and not self._had_fault(
+                sent[run.request_id].gateway, run.started_at
+            )
+        ]
+        peak = max(
+            (
+                sum(at <= time < at + LIMIT_WINDOW_S for time in times)
+                for at in times
+            ),
+            default=0,
+        )
+        allowed = LIMIT_FACTOR * LIMIT_WINDOW_S * interval.limit + LIMIT_SLACK
+        if peak > allowed:
+            self.history.violations.append(
+                f'{peak} requests in {LIMIT_WINDOW_S} s at '
+                f'{interval.subject}, whose limit allows {allowed:.1f}'
+            )
 
     def _check_cold_rate(self, interval: history_types.Interval) -> None:
         times = [
--- a/tests/soak/history.py
+++ b/tests/soak/history.py
@@ -48,6 +48,16 @@
     kind: FaultKind = FaultKind.UNPLANNED
 
 
+@dataclasses.dataclass
+class LimitInterval(Interval):
+    """Interval during which a target states a limit.
+
+    :param limit: requests a second, from all gateways together.
+    """
+
+    limit: float = 0.0
+
+
 @dataclasses.dataclass
 class CallerAttempt(guarantees.Attempt):
     """An attempt with the times that its caller saw.
@@ -114,4 +124,7 @@
     withdrawals: list[Interval] = dataclasses.field(default_factory=list)
     evacuations: list[Interval] = dataclasses.field(default_factory=list)
     cold_intervals: list[Interval] = dataclasses.field(default_factory=list)
+    limit_intervals: list[LimitInterval] = dataclasses.field(
+        default_factory=list
+    )
     violations: list[str] = dataclasses.field(default_factory=list)
--- a/tests/soak/plans.py
+++ b/tests/soak/plans.py
@@ -6,6 +6,10 @@
 MAX_PAUSE_S = 0.6
 # Series of stops start early, so that a short run sees them end.
 FIRST_SERIES_AT_S = 0.3
+# A fault of every plan. It is not among those chosen at random, so that the
+# plans of earlier seeds stay as they were.
+LIMIT_FAULT = 'limit_target'
+LIMIT_AT_S = 0.5
 # How often each fault is chosen, relative to the others.
 WEIGHTS = {
     'pause': 1,
@@ -49,7 +53,7 @@
     """Return the faults of a run, in the order of their start.
 
     Each plan starts with a series of stops, half of them with targets that do
-    not answer.
+    not answer, and with a target that states a limit.
 
     :param seconds: how long faults are injected.
     """
@@ -64,4 +68,5 @@
     while (at_s := at_s + rng.uniform(0.05, MAX_PAUSE_S)) < seconds:
         name = rng.choices(names, weights)[0]
         plan.append(PlannedFault(at_s, name, f'{seed}/{len(plan) + 1}'))
-    return plan
+    plan.append(PlannedFault(LIMIT_AT_S, LIMIT_FAULT, f'{seed}/limit'))
+    return sorted(plan, key=lambda fault: fault.at_s)
--- a/tests/soak/target_faults.py
+++ b/tests/soak/target_faults.py
@@ -18,6 +18,9 @@
     for fault in emulator.Fault
     if fault not in (emulator.Fault.EARLY, emulator.Fault.CHUNKED)
 ]
+# Limits that a target states, in requests a second, and for how long.
+LIMITS = (0.5, 1.2, 3.0)
+LIMIT_SECONDS = (7.0, 9.0)
 # At most this many requests in a row get no answer from one target.
 MAX_UNANSWERED = 3
 
@@ -33,6 +36,7 @@
         'drain_target',
         'replace_target',
         'make_target_cold',
+        'limit_target',
     )
 
     def __init__(self, scope: faults.FaultScope):
@@ -135,6 +139,21 @@
             target.cold_ms = 0
             interval.until = self.cluster.now()
 
+    async def limit_target(self, rng: random.Random) -> None:
+        """Let a target state how many requests a second it takes."""
+        target = self._pick_target(rng)
+        if target is None:
+            return
+        with self.scope.reserve(target.target_id):
+            target.limit = rng.choice(LIMITS)
+            interval = history_types.LimitInterval(
+                target.target_id, self.cluster.now(), limit=target.limit
+            )
+            self.history.limit_intervals.append(interval)
+            await asyncio.sleep(rng.uniform(*LIMIT_SECONDS))
+            interval.until = self.cluster.now()
+            target.limit = None
+
     def _pick_target(
         self, rng: random.Random
     ) -> emulator.EmulatedTarget | None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -30,7 +30,8 @@
         )
         names = [name for group in groups for name in group.NAMES]
 
-        assert sorted(names) == sorted(plans.WEIGHTS)
+        planned = [*plans.WEIGHTS, plans.LIMIT_FAULT]
+        assert sorted(names) == sorted(planned)
 
 
 class TestSoak:
