--- a/tests/soak/plans.py
+++ b/tests/soak/plans.py
@@ -6,10 +6,11 @@
 MAX_PAUSE_S = 0.6
 # Series of stops start early, so that a short run sees them end.
 FIRST_SERIES_AT_S = 0.3
-# A fault of every plan. It is not among those chosen at random, so that the
-# plans of earlier seeds stay as they were.
+# The last fault of every plan. It starts so long before the end of the others
+# and outlasts them, since gateways with a fault may exceed a limit. It is not
+# among those chosen at random, so that plans of earlier seeds stay the same.
 LIMIT_FAULT = 'limit_target'
-LIMIT_AT_S = 0.5
+LIMIT_LEAD_S = 1.0
 # How often each fault is chosen, relative to the others.
 WEIGHTS = {
     'pause': 1,
@@ -53,7 +54,7 @@
     """Return the faults of a run, in the order of their start.
 
     Each plan starts with a series of stops, half of them with targets that do
-    not answer, and with a target that states a limit.
+    not answer. In its last second a target begins to state a limit.
 
     :param seconds: how long faults are injected.
     """
@@ -68,5 +69,6 @@
     while (at_s := at_s + rng.uniform(0.05, MAX_PAUSE_S)) < seconds:
         name = rng.choices(names, weights)[0]
         plan.append(PlannedFault(at_s, name, f'{seed}/{len(plan) + 1}'))
-    plan.append(PlannedFault(LIMIT_AT_S, LIMIT_FAULT, f'{seed}/limit'))
+    limit_at_s = max(FIRST_SERIES_AT_S, seconds - LIMIT_LEAD_S)
+    plan.append(PlannedFault(limit_at_s, LIMIT_FAULT, f'{seed}/limit'))
     return sorted(plan, key=lambda fault: fault.at_s)
--- a/tests/soak/target_faults.py
+++ b/tests/soak/target_faults.py
@@ -20,7 +20,7 @@
 ]
 # Limits that a target states, in requests a second, and for how long.
 LIMITS = (0.5, 1.2, 3.0)
-LIMIT_SECONDS = (7.0, 9.0)
+LIMIT_SECONDS = (9.0, 11.0)
 # At most this many requests in a row get no answer from one target.
 MAX_UNANSWERED = 3
 
