Let gateways agree on who reported a crash, and leak no pool

Two gateways with the same request at one crash kept the record of their own, so both, or none, took themselves for the one that tries a refused request again. The record in the topic now replaces it. The question to a lost target no longer creates a pool for one that is gone, which nothing would remove.

--- a/packages/core/src/dragonflyslip_core/request_crashes.py
+++ b/packages/core/src/dragonflyslip_core/request_crashes.py
@@ -33,6 +33,8 @@
 MAX_TRIAL_CRASHES = 6
 # A trial without a result by then has been cancelled.
 TRIAL_TIMEOUT_S = 10.0
+# Shortest time until a refused caller may come back.
+MIN_RETRY_AFTER_S = 1.0
 # Bounds the memory that a failure of many targets, or a faulty entry, uses.
 MAX_CRASHES = 4096
 # One of so many records is dropped when there are too many.
@@ -93,6 +95,7 @@
         self._trials_end_at: dict[str, float] = {}
 
     def __len__(self) -> int:
+        """Return the number of known crashes."""
         return self._count
 
     def knows_path(self, path_half: str) -> bool:
@@ -117,7 +120,11 @@
         """
         known = self._find(crash)
         if known is not None:
-            known.shared |= shared
+            if shared:
+                # Several entries may have seen this crash. What the exchange
+                # holds is the same for all of them.
+                known.crash = crash
+                known.shared = True
             return False
         if age_s >= MEMORY_S:
             return False
@@ -175,12 +182,15 @@
         extra = len(crashes) - REFUSED_CRASHES
         trial_at = at + TRIAL_DELAY_S * TRIAL_DELAY_FACTOR**extra
         if len(crashes) >= MAX_TRIAL_CRASHES:
-            trial_at = at + MEMORY_S
-        elif last.entry == self.entry and now >= trial_at:
-            if now >= self._trials_end_at.get(identity, now):
-                self._trials_end_at[identity] = now + TRIAL_TIMEOUT_S
-                return None
-        return max(1.0, trial_at - now)
+            return max(MIN_RETRY_AFTER_S, at + MEMORY_S - now)
+        if (
+            last.entry == self.entry
+            and now >= trial_at
+            and now >= self._trials_end_at.get(identity, now)
+        ):
+            self._trials_end_at[identity] = now + TRIAL_TIMEOUT_S
+            return None
+        return max(MIN_RETRY_AFTER_S, trial_at - now)
 
     def succeeded(self, identity: str) -> list[RequestCrash]:
         """Record a success of a request.
--- a/packages/core/tests/test_request_crashes.py
+++ b/packages/core/tests/test_request_crashes.py
@@ -1,5 +1,6 @@
 """Requests that crash the targets that run them."""
 
+import dataclasses
 import itertools
 
 import pytest
@@ -75,6 +76,19 @@
             fleet.share(crash, 1.0)
         assert len(fleet.tables[0]) == 1
 
+    def test_shared_record_replaces_an_entrys_own(self, fleet):
+        """Guards against two entries that both try a refused request."""
+        crash = fleet.crash(0, 0.0, share=False)
+        other = dataclasses.replace(crash, entry='entry-1')
+        fleet.tables[1].add(other, 0.0)
+        fleet.share(other, 1.0)
+        for _ in range(2):
+            fleet.share(dataclasses.replace(crash, target_life='a'), 1.0)
+            fleet.share(
+                dataclasses.replace(crash, target_life='z', depth=2), 1.0
+            )
+        assert sum(fleet.admitted(20.0)) == 1
+
     def test_domain_of_the_targets_does_not_matter(self, fleet):
         """Guards against crashes in quick succession that are excluded."""
         for step in range(3):
--- a/packages/entry/src/dragonflyslip_entry/gateway/crash_reports.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/crash_reports.py
@@ -37,6 +37,8 @@
 WRITE_RETRY_MAX_S = 0.8
 # Bounds the writes to the store when many targets fail at once.
 MAX_PENDING_WRITES = 32
+# Length of the digest of a target's process; its id may be longer than a key.
+TARGET_DIGEST_BYTES = 8
 
 
 class CrashRecord(msgspec.Struct, frozen=True):
@@ -302,6 +304,5 @@
 
 
 def _life_of(target: directory.Registration) -> str:
-    # Ids have no maximum length, while keys of records have one.
     fields = (target.target_id, str(target.started_at_ms))
-    return request_identity.digest(fields, 8).hexdigest()
+    return request_identity.digest(fields, TARGET_DIGEST_BYTES).hexdigest()
--- a/packages/entry/src/dragonflyslip_entry/gateway/probing.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/probing.py
@@ -216,7 +216,8 @@
         :raises ClientError: as :meth:`http_connection.HttpConnection.send`.
         """
         async with asyncio.timeout(PROBE_TIMEOUT_S):
-            connection = await self.pools.get_or_create(target).open()
+            # The pool of a target that is gone must not be created again.
+            connection = await target_pools.TargetPool(target).open()
             try:
                 response = await self._ask(connection, target, path)
             finally:
