Kill all gateways in a test of crashing requests

Three gateway processes are killed after the request has crashed targets and start again: none sends it. Tests name a gateway by its address, so that it may be a process.

--- a/tests/adapter/conftest.py
+++ b/tests/adapter/conftest.py
@@ -154,13 +154,13 @@
         method: str = 'GET',
         body: bytes | None = None,
         wait_ms: int = 2_000,
-        gateway: daemon.Gateway | None = None,
+        listen: str | None = None,
     ) -> Reply:
         """Send one request and return its response.
 
-        :param gateway: the gateway to send to, by default the first one.
+        :param listen: IP:PORT of a gateway, by default of the first one.
         """
-        listen = (gateway or self.gateway).options.listen
+        listen = listen or self.gateway.options.listen
         headers = {
             'Host': HOST,
             'X-Request-Id': f'request-{next(self.ids)}',
--- a/tests/adapter/test_crashing_requests.py
+++ b/tests/adapter/test_crashing_requests.py
@@ -8,8 +8,11 @@
 import dragonflyslip_adapter
 from dragonflyslip_emulator import faults
 from dragonflyslip_emulator import store as store_types
+from tests.adapter import processes
 
 OWN_TOPIC = dragonflyslip_adapter.Adapter.entries_feed
+# A loaded machine may start a process late.
+START_TIMEOUT_S = 20.0
 TARGETS = 8
 RESTART_AFTER_S = 0.3
 KILLER = '/safe/killer'
@@ -67,29 +70,38 @@
     return run.path == KILLER
 
 
-async def start_gateways(platform, count: int) -> list:
-    """Start gateways that keep the records of crashes of this store."""
+async def start_gateways(platform, count: int) -> list[str]:
+    """Start gateways and return where they listen."""
     await platform.start()
     others = [await platform.add_gateway() for _ in range(count - 1)]
-    return [platform.gateway, *others]
+    return [g.options.listen for g in (platform.gateway, *others)]
 
 
 async def send_for(platform, duration_s: float, gateways, *call) -> list[int]:
     """Send the same request again and again, at each gateway in turn.
 
+    :param gateways: where they listen.
     :return: the statuses of the responses.
     """
     loop = asyncio.get_running_loop()
     ends_at = loop.time() + duration_s
     statuses = []
-    for gateway in itertools.cycle(gateways):
+    for listen in itertools.cycle(gateways):
         if loop.time() > ends_at:
             return statuses
-        reply = await platform.call(*call, gateway=gateway)
+        reply = await platform.call(*call, listen=listen)
         statuses.append(reply.status)
         await asyncio.sleep(0.1)
 
 
+async def wait_until_served(platform, gateways: list[str]) -> None:
+    """Wait until each gateway serves another request."""
+    async with asyncio.timeout(START_TIMEOUT_S):
+        for listen in gateways:
+            while (await platform.call(listen=listen)).status != 200:
+                await asyncio.sleep(0.05)
+
+
 class TestRequestsThatCrashTargets:
     async def test_safe_request_is_refused_by_all_gateways(self, platform):
         """Guards against a request that crashes one target after another."""
@@ -120,11 +132,11 @@
         gateways = await start_gateways(platform, 2)
         await send_for(platform, 3.0, gateways, KILLER)
         await crashes.wait_until_restarted()
-        for gateway in gateways:
+        for gateway in list(platform.tasks):
             await platform.stop(gateway)
         late = await platform.add_gateway()
         before = len(crashes.times)
-        reply = await platform.call(KILLER, gateway=late)
+        reply = await platform.call(KILLER, listen=late.options.listen)
         assert (reply.status, len(crashes.times)) == (503, before)
 
     async def test_outage_of_the_store_loses_no_crash(self, platform):
@@ -142,6 +154,38 @@
         assert len(late) <= MAX_LATE_SENDS
 
 
+class TestProcesses:
+    async def test_killed_gateways_remember_it(self, platform):
+        """Guards against a kill of all gateways that forgets the crashes."""
+        crashes = Crashes(platform, is_killer)
+        await crashes.add_targets()
+        await platform.publish()
+        starters = [
+            processes.GatewayProcess.from_store(
+                f'edge-{number}', platform.store.url
+            )
+            for number in range(3)
+        ]
+        gateways = [starter.listen for starter in starters]
+        running = [await starter.start() for starter in starters]
+        try:
+            await wait_until_served(platform, gateways)
+            await send_for(platform, 3.0, gateways, KILLER)
+            for process in running:
+                process.kill()
+                await process.wait()
+            running = [await starter.start() for starter in starters]
+            await crashes.wait_until_restarted()
+            await wait_until_served(platform, gateways)
+            statuses = await send_for(platform, 2.0, gateways, KILLER)
+        finally:
+            for process in running:
+                process.kill()
+                await process.wait()
+        assert crashes.late_sends() <= MAX_LATE_SENDS
+        assert set(statuses) == {503}
+
+
 class TestRequestsThatOthersCrash:
     async def test_common_request_in_flight_at_crashes_is_served(
         self, platform
--- a/tests/adapter/test_limits.py
+++ b/tests/adapter/test_limits.py
@@ -43,15 +43,15 @@
         loop = asyncio.get_running_loop()
         ends_at = loop.time() + duration_s
         callers = [
-            self._call_until(ends_at, gateway)
+            self._call_until(ends_at, gateway.options.listen)
             for gateway in self.gateways
             for _ in range(3)
         ]
         await asyncio.gather(*callers)
 
-    async def _call_until(self, ends_at: float, gateway) -> None:
+    async def _call_until(self, ends_at: float, listen: str) -> None:
         while asyncio.get_running_loop().time() < ends_at:
-            reply = await self.platform.call('/safe/1', gateway=gateway)
+            reply = await self.platform.call('/safe/1', listen=listen)
             self.statuses.append(reply.status)
             await asyncio.sleep(0.05)
 
--- a/tests/adapter/test_odd_records.py
+++ b/tests/adapter/test_odd_records.py
@@ -98,7 +98,8 @@
 
 async def assert_serves(platform, gateway) -> None:
     """Assert that a gateway serves requests and its metrics."""
-    assert (await platform.call('/safe/1', gateway=gateway)).status == 200
+    reply = await platform.call(listen=gateway.options.listen)
+    assert reply.status == 200
     url = f'http://{gateway.options.metrics_listen}/metrics'
     async with platform.session.get(url) as response:
         assert response.status == 200
