Excuse requests that no process of a gateway could read in the soak

The soak now records from the end of a process until the last refused connection, and excuses only requests whose whole time lies in it; three tests cover it.

Two new mutations had survived: a lost connection taken for a crash, since two targets cannot crash three times under one id each, and a limit that all gateways share, since nobody was idle first. Their tests now fail.

--- a/packages/core/tests/test_target_limits.py
+++ b/packages/core/tests/test_target_limits.py
@@ -35,6 +35,11 @@
         for table in self.tables.values():
             table.set_entries(frozenset(names))
 
+    def record(self):
+        for table in self.tables.values():
+            table.record(TARGET, self.limit, HEALTH, self.now)
+            table.allows(TARGET, self.now)
+
     def run(self, duration_s):
         for _ in range(int(duration_s / STEP_S)):
             self.now += STEP_S
@@ -84,6 +89,17 @@
             fleet.run(1.0)
         assert fleet.worst_window() <= allowed(limit)
 
+    @pytest.mark.parametrize('limit', [0.5, 1.2, 6.0])
+    def test_idle_entries_do_not_send_at_once(self, limit):
+        """Guards against what all entries together save up."""
+        fleet = Fleet(119, limit)
+        fleet.record()
+        for _ in range(100):
+            fleet.now += 1.0
+            fleet.record()
+        fleet.run(4.0)
+        assert fleet.worst_window() <= allowed(limit)
+
     def test_entry_that_is_not_registered_sends_nothing(self):
         fleet = Fleet(2, 5.0)
         fleet.set_entries([])
--- a/tests/adapter/test_crashing_requests.py
+++ b/tests/adapter/test_crashing_requests.py
@@ -211,13 +211,13 @@
 
     async def test_lost_connections_alone_are_no_crashes(self, platform):
         """Guards against a refusal after resets by targets that live on."""
-        await platform.add_target()
-        await platform.add_target()
+        for _ in range(TARGETS):
+            await platform.add_target()
         await platform.publish()
         await start_gateways(platform, 1)
         for target in platform.targets:
-            target.faults.extend([faults.Fault.RESET] * 6)
-        for _ in range(6):
+            target.faults.extend([faults.Fault.RESET] * TARGETS)
+        for _ in range(TARGETS):
             await platform.call('/safe/1')
         for target in platform.targets:
             target.faults.clear()
--- a/tests/soak/gateway_faults.py
+++ b/tests/soak/gateway_faults.py
@@ -118,7 +118,15 @@
         await self._restart(gateway)
 
     async def _restart(self, gateway: gateways.Gateway) -> None:
+        now = self.cluster.now()
+        absence = history_types.Interval(gateway.name, now, now)
+        self.history.absences.append(absence)
         await gateway.start()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(cluster.START_TIMEOUT_S):
+                while not await gateway.accepts_connections():
+                    absence.until = self.cluster.now()
+                    await asyncio.sleep(0.02)
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(cluster.START_TIMEOUT_S):
                 while not await self.cluster.is_serving(gateway):
--- a/tests/soak/gateways.py
+++ b/tests/soak/gateways.py
@@ -100,6 +100,17 @@
         server = await self.link.listen(0)
         self.link_port = server.sockets[0].getsockname()[1]
 
+    async def accepts_connections(self) -> bool:
+        """Return whether the process listens for callers."""
+        try:
+            _, writer = await asyncio.open_connection(
+                '127.0.0.1', self.ports[0]
+            )
+        except OSError:
+            return False
+        writer.close()
+        return True
+
     def signal(self, number: int) -> None:
         """Send a signal if the process is running."""
         if self.process.poll() is None:
--- a/tests/soak/history.py
+++ b/tests/soak/history.py
@@ -106,6 +106,8 @@
         that affects them all.
     :param target_fault_intervals: faults of the connections to a target.
     :param terminations: from the SIGTERM of a gateway until its process ends.
+    :param absences: from the end of a gateway's process until the last time
+        at which its port refused a connection.
     :param reloads: the moments at which a gateway got SIGHUP.
     """
 
@@ -119,6 +121,7 @@
     target_fault_intervals: list[FaultInterval] = dataclasses.field(
         default_factory=list
     )
+    absences: list[Interval] = dataclasses.field(default_factory=list)
     reloads: list[Interval] = dataclasses.field(default_factory=list)
     terminations: list[Interval] = dataclasses.field(default_factory=list)
     withdrawals: list[Interval] = dataclasses.field(default_factory=list)
--- a/tests/soak/lost_requests.py
+++ b/tests/soak/lost_requests.py
@@ -70,10 +70,23 @@
         return (
             _reached_timeout(attempt)
             or any(run.broke_off for run in runs)
+            or (not runs and self._was_absent(attempt))
             or self._had_unplanned_fault(attempt, runs)
             or (stop is not None and _outlasted_stop(attempt, runs, stop))
         )
 
+    def _was_absent(self, attempt: history_types.CallerAttempt) -> bool:
+        """Return whether no process could read the request.
+
+        The link of a gateway accepts connections while it has no process.
+        """
+        return any(
+            absence.subject == attempt.gateway
+            and absence.since <= attempt.sent_at
+            and attempt.finished_at <= absence.until
+            for absence in self.history.absences
+        )
+
     def _find_stop(
         self, attempt: history_types.CallerAttempt
     ) -> history_types.Interval | None:
--- a/tests/test_soak_lost_requests.py
+++ b/tests/test_soak_lost_requests.py
@@ -1,5 +1,7 @@
 """Decision which requests of a soak run were lost."""
 
+import pytest
+
 import dragonflyslip_emulator as emulator
 from tests.soak import history as history_types
 from tests.soak import lost_requests
@@ -76,6 +78,24 @@
     def test_request_that_crosses_the_close_is_not_lost(self):
         assert not _find(_attempt(finished_at=101.25), [])
 
+    @pytest.mark.parametrize(
+        ('sent_at', 'finished_at', 'lost'),
+        [(107.0, 107.6, False), (105.9, 107.6, True), (107.0, 108.1, True)],
+    )
+    def test_request_that_no_process_could_read_is_not_lost(
+        self, sent_at, finished_at, lost
+    ):
+        """Guards against an excuse for what a process may have read."""
+        history = _history()
+        history.absences.append(
+            history_types.Interval('gateway-0', GONE_AT, 108.0)
+        )
+        attempt = _attempt(
+            sent_at=sent_at, written_at=sent_at, finished_at=finished_at
+        )
+
+        assert bool(_find(attempt, [], history)) is lost
+
     def test_request_that_was_not_written_whole_is_not_lost(self):
         assert not _find(_attempt(written_at=float('inf')), [])
 
