Serve manifests with downloads and with kinds of routes not yet known

The gateways of a deployment whose manifest has a route of type download answered every request with 503 no-manifest: the adapter knew three types and refused the whole manifest for any other one. The log said so (record skipped, key config), but docs/OPERATIONS.md led from no-manifest to the store only.

Downloads are idempotent and have large responses, so they may be repeated and hedged while their caller has got nothing, and prefer a target of the gateway's own failure domain as uploads do. An unknown type runs at most once; a log line and a counter name it.

--- a/packages/core/src/dragonflyslip_core/manifest.py
+++ b/packages/core/src/dragonflyslip_core/manifest.py
@@ -13,18 +13,31 @@
 class RouteKind(enum.StrEnum):
     """Whether requests of a route may be repeated, whatever their method.
 
-    ``IDEMPOTENT`` requests may run more than once. ``AT_MOST_ONCE`` and
-    ``UPLOAD`` requests may not; uploads also have large bodies.
+    ``IDEMPOTENT`` and ``DOWNLOAD`` requests may run more than once; downloads
+    also have large responses. ``AT_MOST_ONCE`` and ``UPLOAD`` requests may
+    not; uploads also have large bodies. ``UNKNOWN`` is a kind that this
+    version does not know, so its requests run at most once.
     """
 
     IDEMPOTENT = 'idempotent'
+    DOWNLOAD = 'download'
     AT_MOST_ONCE = 'at-most-once'
     UPLOAD = 'upload'
+    UNKNOWN = 'unknown'
 
     @property
     def repeatable(self) -> bool:
         """Whether a request that may have run can be sent again."""
-        return self is RouteKind.IDEMPOTENT
+        return self in _REPEATABLE_KINDS
+
+    @property
+    def large(self) -> bool:
+        """Whether sending a request to a distant target is expensive."""
+        return self in _LARGE_KINDS
+
+
+_REPEATABLE_KINDS = frozenset({RouteKind.IDEMPOTENT, RouteKind.DOWNLOAD})
+_LARGE_KINDS = frozenset({RouteKind.DOWNLOAD, RouteKind.UPLOAD})
 
 
 @dataclasses.dataclass(frozen=True)
@@ -112,6 +125,15 @@
     services: collections.abc.Mapping[str, ServiceRules]
     limits: CallerLimits = CallerLimits()
 
+    @property
+    def routes_of_unknown_kind(self) -> tuple[str, ...]:
+        """Names of the routes whose kind this version does not know."""
+        return tuple(
+            route.name
+            for route in self.routes
+            if route.kind is RouteKind.UNKNOWN
+        )
+
     @functools.cached_property
     def routes_by_host(self) -> dict[str, tuple[Route, ...]]:
         """Routes by host in lower case, the longest prefix first."""
--- a/packages/entry/src/dragonflyslip_entry/gateway/handling.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/handling.py
@@ -13,7 +13,6 @@
 import multidict
 
 from dragonflyslip_core import admission
-from dragonflyslip_core import manifest as manifest_types
 from dragonflyslip_entry import errors
 from dragonflyslip_entry.gateway import adapters
 from dragonflyslip_entry.gateway import board as board_types
@@ -263,7 +262,7 @@
         return admission.is_worth_sending(admission_request, load)
 
     def _prefers_local(self, call: calls.Call) -> bool:
-        return call.route.kind is manifest_types.RouteKind.UPLOAD
+        return call.route.kind.large
 
     def _final_error(
         self, call: calls.Call, retry_after_s: float | None = None
--- a/packages/entry/src/dragonflyslip_entry/gateway/topology.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/topology.py
@@ -8,6 +8,9 @@
 from dragonflyslip_entry.gateway import target_pools
 from dragonflyslip_entry import logs
 
+# Names in a log line about routes.
+MAX_LOGGED_ROUTES = 20
+
 
 class TopologyController:
     """Applies manifests, registrations and domains taken out of service.
@@ -45,6 +48,16 @@
             previous=None if known is None else known.version,
             routes=len(manifest.routes),
         )
+        unknown = manifest.routes_of_unknown_kind
+        if unknown:
+            self.board.count('unknown_kind_routes', len(unknown))
+            logs.info(
+                'routes of unknown kind',
+                version=manifest.version,
+                routes=unknown[:MAX_LOGGED_ROUTES],
+                count=len(unknown),
+                effect='run at most once',
+            )
 
     def targets_listed(
         self, registrations: list[directory.Registration]
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -12,11 +12,12 @@
 
 CALLER_COUNT = 32
 # Relative frequency of the kinds of requests.
-KIND_WEIGHTS = {'safe': 5, 'unsafe': 1, 'upload': 1}
+KIND_WEIGHTS = {'safe': 5, 'unsafe': 1, 'upload': 1, 'download': 1}
 MAX_ATTEMPTS = 3
 # Sizes of response bodies. Over a link or with a slow reader, a larger one
 # would not arrive before its timeout.
 DIRECT_RESPONSE_BYTES = (5_000, 60_000, 300_000, 1_000_000)
+DOWNLOAD_BYTES = (300_000, 1_000_000, 4_000_000)
 LINK_RESPONSE_BYTES = (5_000, 20_000, 60_000, 110_000, 200_000)
 SLOW_READ_RESPONSE_BYTES = (90_000, 110_000, 130_000, 200_000)
 # These have to arrive in the rest of a stop if their target takes long.
@@ -25,6 +26,7 @@
     'safe': (0,),
     'unsafe': (10, 3_000, 60_000),
     'upload': (10, 3_000, 200_000),
+    'download': (0,),
 }
 SLOW_READ_PAUSE_S = 0.08
 # A slow upload of 200 KB takes 1 to 4 s.
@@ -90,7 +92,7 @@
         for _ in range(MAX_ATTEMPTS):
             attempt = await self._send(kind)
             should_retry = attempt.status in guarantees.NOT_RUN_STATUSES or (
-                kind == 'safe' and attempt.status != 200
+                kind in guarantees.IDEMPOTENT_KINDS and attempt.status != 200
             )
             if attempt.status == 0:
                 self._use_gateway(self.rng.choice(self.cluster.gateways))
@@ -126,12 +128,14 @@
         return attempt
 
     def _response_sizes(self, kind: str) -> tuple[int, ...]:
-        if kind != 'safe':
+        if kind not in guarantees.IDEMPOTENT_KINDS:
             return SMALL_RESPONSE_BYTES
         if self.behavior.reads_slowly:
             return SLOW_READ_RESPONSE_BYTES
         if self.behavior.uses_link:
             return LINK_RESPONSE_BYTES
+        if kind == 'download':
+            return DOWNLOAD_BYTES
         return DIRECT_RESPONSE_BYTES
 
     def _choose_pace(self, kind: str) -> connections.Pace:
--- a/tests/soak/cluster.py
+++ b/tests/soak/cluster.py
@@ -6,6 +6,7 @@
 import signal
 
 import dragonflyslip_emulator as emulator
+from dragonflyslip_emulator import guarantees
 from dragonflyslip_emulator import store as store_types
 from dragonflyslip_testing import relay as relay_types
 from tests.soak import connections
@@ -14,12 +15,22 @@
 
 SERVICES = ('casebook', 'grantdesk')
 HOST = 'app.example'
-KINDS = ('safe', 'unsafe', 'upload')
+KINDS = ('safe', 'unsafe', 'upload', 'download')
 # A loaded machine may start a gateway late or delay a caller.
 START_TIMEOUT_S = 20.0
 # Uploads wait longer than a gateway takes to stop.
-CALLER_TIMEOUTS_S = {'safe': 3.0, 'unsafe': 4.0, 'upload': 9.0}
-ROUTE_TIMEOUTS_S = {'safe': 2.5, 'unsafe': 4.0, 'upload': 20.0}
+CALLER_TIMEOUTS_S = {
+    'safe': 3.0,
+    'unsafe': 4.0,
+    'upload': 9.0,
+    'download': 6.0,
+}
+ROUTE_TIMEOUTS_S = {
+    'safe': 2.5,
+    'unsafe': 4.0,
+    'upload': 20.0,
+    'download': 6.0,
+}
 _PROBE_BYTES = 100
 COLD_RATE_PER_S = 3.5
 
@@ -149,7 +160,7 @@
         attempt = history_types.CallerAttempt(
             f'{self.seed}-{number}',
             kind,
-            'GET' if kind == 'safe' else 'POST',
+            guarantees.method_of(kind),
             f'/{kind}/{number}?bytes={response_bytes}',
             body,
             gateway.name,
