Refuse requests that cannot end before a stop ends them

A stopping gateway passed requests on until it answered all of them with 504: a request behind another one on a kept connection, one whose body began to arrive late, and a repeat after a failure were sent to targets that could not answer any more. Their work was lost, and callers of requests that may not be repeated were told nothing (504).

Ruled out: requests on new connections, which close 2.5 s after SIGTERM and have 2.9 s or more left at a stop timeout of 6 s.

A request is passed on, at its arrival and in the step of its write, only if two target latencies of its route are left until the stop ends the requests; a later one gets 503 with Retry-After at once, or 502 if it may have run. Without a stop nothing changes.

--- a/packages/entry/src/dragonflyslip_entry/gateway/calls.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/calls.py
@@ -15,6 +15,10 @@
 # Request bodies up to this size are kept in memory, so that a request which a
 # target refused can be sent to another one.
 MAX_KEPT_BODY_BYTES = 524_288
+# A gateway that stops passes a request on only if this many target latencies
+# are left until it ends its requests. Nearly every request ends within them,
+# and a refused caller can go to another gateway at once.
+STOP_LATENCIES = 2.0
 
 
 @dataclasses.dataclass(eq=False)
@@ -78,12 +82,29 @@
         """Whether the gateway stops before the timeouts of the request end."""
         return self.stop_at < self.caller_deadline_at
 
+    def can_end(self, now: float) -> bool:
+        """Whether a target has time to answer it before the gateway stops.
+
+        :param now: time of the event loop.
+        """
+        return has_time_to_end(self.route, now, self.stop_at)
+
     @property
     def attempts_left(self) -> int:
         """Number of targets that it may still be sent to."""
         return self.route.max_attempts - len(self.sent_to)
 
 
+def has_time_to_end(
+    route: manifest_types.Route, now: float, stop_at: float
+) -> bool:
+    """Return whether a request passed on now ends before a stop.
+
+    :param stop_at: when the stop ends all requests; infinite without one.
+    """
+    return stop_at - now >= STOP_LATENCIES * route.target_latency_s
+
+
 def identity_of(call: Call, body: 'RequestBody | None') -> str | None:
     """Return the identity of a request, None until its body is known."""
     if body is None:
--- a/packages/entry/src/dragonflyslip_entry/gateway/error_responses.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/error_responses.py
@@ -18,3 +18,7 @@
     status: int
     reason: str
     retry_after_s: float | None = None
+
+
+# The response to requests that a stopping gateway does not pass on.
+STOPPING = ErrorResponse(503, 'gateway-stopping', STOPPING_RETRY_S)
--- a/packages/entry/src/dragonflyslip_entry/gateway/handling.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/handling.py
@@ -158,12 +158,10 @@
         if not call.ends_with_stop:
             call.reason = call.reason or 'timeout'
             return error_responses.ErrorResponse(504, 'timeout')
-        call.reason = 'gateway-stopping'
+        call.reason = error_responses.STOPPING.reason
         if call.may_have_run:
             return error_responses.ErrorResponse(504, call.reason)
-        return error_responses.ErrorResponse(
-            503, call.reason, error_responses.STOPPING_RETRY_S
-        )
+        return error_responses.STOPPING
 
     def _body_error_response(
         self, call: calls.Call
@@ -206,6 +204,8 @@
             if refused_s is not None:
                 call.reason = 'crashes-targets'
                 return self._final_error(call, refused_s)
+            if not call.can_end(self.loop.time()):
+                return self._stopping_error(call)
             probed = await self.target_selector.choose(
                 call.service, excluded, self._prefers_local(call)
             )
@@ -235,6 +235,8 @@
                 call.reason = f'target answered {outcome.response.status}'
                 continue
             call.reason = outcome.reason
+            if not call.can_end(self.loop.time()):
+                return self._stopping_error(call)
             if len(call.sent_to) == sent_before:
                 unwritten += 1
                 if unwritten < MAX_UNWRITTEN_SENDS and (
@@ -264,6 +266,17 @@
     def _prefers_local(self, call: calls.Call) -> bool:
         return call.route.kind.large
 
+    def _stopping_error(
+        self, call: calls.Call
+    ) -> error_responses.ErrorResponse:
+        """Return the error of a call that a stop leaves no time to send."""
+        if call.may_have_run:
+            return error_responses.ErrorResponse(
+                502, call.reason or error_responses.STOPPING.reason
+            )
+        call.reason = error_responses.STOPPING.reason
+        return error_responses.STOPPING
+
     def _final_error(
         self, call: calls.Call, retry_after_s: float | None = None
     ) -> error_responses.ErrorResponse:
--- a/packages/entry/src/dragonflyslip_entry/gateway/repeating.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/repeating.py
@@ -45,7 +45,8 @@
             return False
         if body is not None and not body.can_restart:
             return False
-        if call.deadline_at - self.loop.time() < MIN_REPEAT_TIME_S:
+        now = self.loop.time()
+        if call.deadline_at - now < MIN_REPEAT_TIME_S or not call.can_end(now):
             return False
         if not self.board.repeat_budget_of(call.service.name).take():
             self.board.count('repeats_denied')
--- a/packages/entry/src/dragonflyslip_entry/gateway/request_matching.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/request_matching.py
@@ -33,9 +33,7 @@
         :param stop_at: when a stop ends all requests; infinite without one.
         """
         if now >= stop_at:
-            return error_responses.ErrorResponse(
-                503, 'gateway-stopping', error_responses.STOPPING_RETRY_S
-            )
+            return error_responses.STOPPING
         manifest = self.board.manifest
         if manifest is None or not self.board.targets_listed:
             return error_responses.ErrorResponse(
@@ -50,6 +48,8 @@
         route = manifest.find_route(target.host, path)
         if route is None:
             return error_responses.ErrorResponse(404, 'no-route')
+        if not calls.has_time_to_end(route, now, stop_at):
+            return error_responses.STOPPING
         limit = manifest.limits.max_body_bytes
         if (request.content_length or 0) > limit:
             return error_responses.ErrorResponse(413, 'body-too-large')
--- a/packages/entry/src/dragonflyslip_entry/gateway/sending.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/sending.py
@@ -141,6 +141,8 @@
                 probed.target.target_id, probed.target.service
             ):
                 raise _NotSent('target-withdrawn')
+            if not call.can_end(now):
+                raise _NotSent('gateway-stopping')
             if not self.board.target_limits.take(probed.target.target_id, now):
                 raise _NotSent('target-limited')
             call.sent_to.append(probed.target.target_id)
--- /dev/null
+++ b/tests/adapter/test_late_requests.py
@@ -0,0 +1,94 @@
+"""Requests that reach a stopping gateway late are refused, not cut.
+
+A target that is at work when the stop ends has worked in vain, and the caller
+of a request that may not be repeated cannot tell whether it ran.
+"""
+
+import asyncio
+
+import pytest
+
+from tests.adapter import callers
+
+STOP_TIMEOUT_S = 3.0
+# The gateway answers all requests 0.4 s before the stop timeout in this test.
+TARGET_LATENCY_S = 0.7
+WORK_S = 1.0
+_BODY = b'0123456789'
+
+
+async def _start(platform, targets: int = 1) -> callers.KeptConnection:
+    for _ in range(targets):
+        await platform.add_target(work_s=WORK_S)
+    await platform.publish(
+        *(
+            platform.route(
+                kind, timeout='20s', target_latency=f'{TARGET_LATENCY_S}s'
+            )
+            for kind in ('safe', 'unsafe', 'upload')
+        )
+    )
+    await platform.start(stop_timeout=f'{STOP_TIMEOUT_S}s')
+    return await callers.KeptConnection.open(platform.port)
+
+
+def _request(method: str, number: int, **headers) -> bytes:
+    path = '/safe/1' if method == 'GET' else '/unsafe/1'
+    return callers.encode_request(
+        path, method, f'late-{number}', 20_000, **headers
+    )
+
+
+class TestLateRequests:
+    @pytest.mark.parametrize('method', ['GET', 'DELETE'])
+    async def test_request_that_cannot_end_is_refused_and_does_not_run(
+        self, platform, method
+    ):
+        # Guards against a request behind another one on its connection that
+        # is passed on late in a stop and cut at its end.
+        caller = await _start(platform)
+        for number in range(4):
+            caller.send(_request(method, number))
+        await platform.until(platform.runs)
+        platform.gateway.stopping.set()
+        answers = [await caller.receive() for _ in range(4)]
+        statuses = [answer.status for answer in answers]
+        assert statuses[0] == 200
+        assert set(statuses) == {200, 503}
+        assert statuses == sorted(statuses)
+        ran = {run.request_id for run in platform.runs()}
+        assert ran == {f'late-{n}' for n in range(statuses.count(200))}
+        assert all(run.finished for run in platform.runs())
+        assert float(answers[-1].headers['retry-after']) > 0
+        assert await caller.receive_end() == b''
+
+    async def test_upload_whose_body_arrives_late_is_not_passed_on(
+        self, platform
+    ):
+        # Guards against a body that begins to arrive late in a stop, so that
+        # its target gets the request when it cannot answer any more.
+        caller = await _start(platform)
+        caller.send(_request('POST', 1, Content_Length=len(_BODY)))
+        await platform.until(lambda: platform.gateway.handler.in_flight)
+        platform.gateway.stopping.set()
+        await asyncio.sleep(STOP_TIMEOUT_S - 2 * TARGET_LATENCY_S)
+        caller.send(_BODY)
+        assert (await caller.receive()).status == 503
+        assert platform.runs() == []
+
+    async def test_failed_request_is_not_repeated_late(self, platform):
+        # Guards against a repeat that begins late in a stop and is cut.
+        caller = await _start(platform, targets=2)
+        for target in platform.targets:
+            target.work_s = STOP_TIMEOUT_S
+        # A request with a body is not hedged.
+        caller.send(_request('GET', 1, Content_Length=len(_BODY)) + _BODY)
+        await platform.until(platform.runs)
+        platform.gateway.stopping.set()
+        (run,) = platform.runs()
+        await asyncio.sleep(STOP_TIMEOUT_S - 2 * TARGET_LATENCY_S - 0.2)
+        for target in platform.targets:
+            if target.target_id == run.target_id:
+                target.crash()
+        assert (await caller.receive()).status == 502
+        assert len(platform.runs()) == 1
