Open a new connection for an id that was answered on the old one

A target that writes an answer once more, late, on a kept connection is told from the answer that is due by its request id alone. A request that has the id of one answered there before got that copy: the body of the earlier answer, with status 200. Refusals were already kept by id, but led to another target, or to a refusal of the caller if there was none.

So the reason id-refused-before is gone.

--- a/packages/entry/src/dragonflyslip_entry/gateway/handling.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/handling.py
@@ -235,8 +235,6 @@
                 call.reason = f'target answered {outcome.response.status}'
                 continue
             call.reason = outcome.reason
-            if not call.can_end(self.loop.time()):
-                return self._stopping_error(call)
             if len(call.sent_to) == sent_before:
                 unwritten += 1
                 if unwritten < MAX_UNWRITTEN_SENDS and (
--- a/packages/entry/src/dragonflyslip_entry/gateway/probing.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/probing.py
@@ -29,12 +29,12 @@
 MAX_HEALTH_BODY_BYTES = 65_536
 
 
-@dataclasses.dataclass(frozen=True)
+@dataclasses.dataclass
 class ProbedTarget:
     """A target that has just answered a probe.
 
     :param connection: the connection on which it answered, or one that was
-        opened right after its answer.
+        opened after its answer.
     """
 
     target: directory.Registration
--- a/packages/entry/src/dragonflyslip_entry/gateway/sending.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/sending.py
@@ -22,8 +22,6 @@
 MAX_FOREIGN_BODY_BYTES = 262_144
 MAX_REFUSAL_BODY_BYTES = 65_536
 REFUSAL_BODY_TIMEOUT_S = 0.1
-# A connection with more refusals is closed, so that their ids can be kept.
-MAX_REFUSALS_PER_CONNECTION = 64
 # Characters of an error in the reason of a failure.
 MAX_ERROR_TEXT_LENGTH = 200
 
@@ -156,12 +154,11 @@
         body: calls.RequestBody | None,
         attempt: http_connection.Attempt,
     ) -> SendOutcome:
+        if call.request_id in probed.connection.answered_ids:
+            # The next response with this id may be a copy of the earlier one.
+            probed.connection.close()
+            probed.connection = await probed.pool.open()
         connection = probed.connection
-        if call.request_id in connection.refused_ids:
-            # A target that wrote that refusal once more would seem to refuse
-            # this request too.
-            connection.close()
-            return NotRun('id-refused-before')
         left_s = call.deadline_at - self.loop.time()
         marked = call.headers.copy()
         self.dialect.add_request_headers(
@@ -181,6 +178,7 @@
                 response.status, response.headers
             )
             if metadata.request_id == call.request_id:
+                connection.answered_ids.add(call.request_id)
                 self._record_limit(probed, metadata)
                 if metadata.not_run:
                     return await self._read_refusal(
@@ -221,11 +219,7 @@
             await connection.read_body(
                 response, MAX_REFUSAL_BODY_BYTES, REFUSAL_BODY_TIMEOUT_S
             )
-        connection.refused_ids.add(call.request_id)
-        if (
-            not response.complete
-            or len(connection.refused_ids) >= MAX_REFUSALS_PER_CONNECTION
-        ):
+        if not response.complete:
             connection.close()
         call.refusals += 1
         return NotRun(
