Let gateways that start find a provider before they read the store

After a kill or a loss of power of all gateways, each new process looked for a provider among the records of the processes that had ended, the oldest first and four at a time, read the store itself after 0.05 s, and went on until it had found two: about eight calls a start.

- A gateway that starts also tries gateways that registered 1, 8 and 64 registrations before it, which are likely to live.
- A registration that is replaced or removed ends the search for its process, as the feed of registrations tells.
- What is read at the registration becomes the copy of that feed; it was read a second time.
- It waits 0.3 s, not 0.05 s, once a live gateway has answered it, and a gateway with six older ones waits 0.6 s, not 0.3 s, when all its providers are lost, so that the few that read first can serve it.
- A copy that was just read is not read again for 0.5 s.

test_relays.py: five gateways that start beside 40 records of ended processes read 10, 9, 8, 7 and 6 times on, now 0; a replaced or removed registration stayed a provider for ever.

--- a/packages/core/src/dragonflyslip_core/providers.py
+++ b/packages/core/src/dragonflyslip_core/providers.py
@@ -26,6 +26,16 @@
 # Replaces ``NO_PROVIDER_DELAY_S`` while an entry has no copy yet and so cannot
 # serve requests.
 STARTUP_DELAY_S = 0.05
+# The delays without any fresh provider of an entry that others are about to
+# precede: they find the log's state within this time, and it copies from them.
+PATIENT_DELAY_S = 0.6
+PATIENT_STARTUP_DELAY_S = 0.3
+# An entry with at least this many older ones lets them read first.
+FIRST_READERS = 6
+# An entry that starts also tries entries that registered shortly before it,
+# this many registrations earlier: after a restart of all entries, records of
+# processes that have ended precede these.
+RECENT_DISTANCES = (1, 8, 64)
 # Delay before connecting again after a failure, doubled with each failure.
 RETRY_DELAY_S = 1.5
 MAX_RETRY_DELAY_S = 60.0
@@ -74,16 +84,26 @@
         self._retry_at: dict[membership.EntryId, float] = {}
         self._retry_delays_s: dict[membership.EntryId, float] = {}
 
-    def providers_to_connect(self, now: float) -> list[Provider]:
+    def providers_to_connect(
+        self, now: float, starting: bool = False
+    ) -> list[Provider]:
         """Return the providers to which connections should be opened.
 
         Providers that failed before come last, and only after their retry
         delay.
+
+        :param starting: whether the entry has no copy yet.
         """
         missing = []
         connections = usable = 0
-        for provider in sorted(self.order, key=self._has_failed):
-            if usable >= PROVIDER_COUNT or connections >= MAX_CONNECTIONS:
+        candidates = sorted(self.order, key=self._has_failed)
+        wanted = PROVIDER_COUNT
+        if starting:
+            recent = self._recent_providers()
+            candidates = recent + [p for p in candidates if p not in recent]
+            wanted = MAX_CONNECTIONS
+        for provider in candidates:
+            if usable >= wanted or connections >= MAX_CONNECTIONS:
                 break
             connection = self._connections.get(provider.entry_id)
             if connection is None:
@@ -94,9 +114,46 @@
             usable += connection is None or connection.fresh is not False
         return missing
 
+    def _recent_providers(self) -> list[Provider]:
+        newest_first = sorted(
+            self.order, key=lambda item: -item.registration_offset
+        )
+        return [
+            newest_first[distance - 1]
+            for distance in RECENT_DISTANCES
+            if distance <= len(newest_first)
+        ]
+
     def _has_failed(self, provider: Provider) -> bool:
         return provider.entry_id in self._retry_delays_s
 
+    @property
+    def first_readers(self) -> int:
+        """The number of older entries that would read the log first.
+
+        They have not failed when they were tried.
+        """
+        return sum(not self._has_failed(item) for item in self.order)
+
+    def registration_ended(self, name: str, before: int) -> list[Provider]:
+        """Drop providers whose registration was replaced or removed.
+
+        Without this, an entry would search live providers among the records
+        of processes that have ended.
+
+        :param name: name of the entry.
+        :param before: offset of the record that ended its registration.
+        :return: the dropped providers.
+        """
+        ended = [
+            item
+            for item in self.order
+            if item.entry_id.name == name and item.registration_offset < before
+        ]
+        for provider in ended:
+            self.replaced(provider)
+        return ended
+
     def unneeded_providers(self) -> list[Provider]:
         """Return the connected providers that are not needed.
 
@@ -167,7 +224,12 @@
         self._too_few_since: float | None = None
 
     def update(
-        self, fresh: int, alone: bool, now: float, starting: bool = False
+        self,
+        fresh: int,
+        alone: bool,
+        now: float,
+        starting: bool = False,
+        patient: bool = False,
     ) -> bool:
         """Update the decision.
 
@@ -175,9 +237,14 @@
         :param alone: whether it is certain that no older entry exists.
         :param now: monotonic seconds.
         :param starting: whether the entry has no copy yet.
+        :param patient: whether others are about to read the log, from which
+            this entry can copy.
         :return: whether this entry reads the log itself.
         """
-        delay_s = STARTUP_DELAY_S if starting else NO_PROVIDER_DELAY_S
+        if starting:
+            delay_s = PATIENT_STARTUP_DELAY_S if patient else STARTUP_DELAY_S
+        else:
+            delay_s = PATIENT_DELAY_S if patient else NO_PROVIDER_DELAY_S
         self._none_since = _since(self._none_since, fresh < 1, now)
         self._too_few_since = _since(
             self._too_few_since, fresh < PROVIDER_COUNT, now
--- a/packages/core/tests/test_providers.py
+++ b/packages/core/tests/test_providers.py
@@ -108,6 +108,33 @@
         assert _open_all(selector, 100.0) == []
         assert [item.registration_offset for item in selector.order] == [1]
 
+    def test_starting_entry_also_tries_recent_registrations(self):
+        # Guards against a search among the records of ended processes while
+        # live ones registered just before.
+        selector = providers.ProviderSelector(
+            [_provider(n) for n in range(100)]
+        )
+        opened = selector.providers_to_connect(0.0, starting=True)
+        order = [item.registration_offset for item in opened]
+        assert order == [99, 92, 36, 0]
+        for provider in opened:
+            selector.opened(provider)
+            selector.closed(provider, 0.0)
+        assert [
+            item.registration_offset
+            for item in selector.providers_to_connect(0.1, starting=True)
+        ] == [1, 2, 3, 4]
+
+    def test_ended_registration_is_no_provider(self):
+        selector = providers.ProviderSelector([_provider(n) for n in range(4)])
+        _open_all(selector, 0.0)
+        assert selector.registration_ended('entry-0', 0) == []
+        assert selector.registration_ended('entry-0', 7) == [_provider(0)]
+        assert _open_all(selector, 1.0) == [2]
+        assert selector.first_readers == 3
+        selector.closed(_provider(1), 1.0)
+        assert selector.first_readers == 2
+
 
 class TestReadDecision:
     @pytest.mark.parametrize(
@@ -135,6 +162,29 @@
         decision.update(0, False, 10.0, starting=True)
         assert decision.update(0, False, 10.05, starting=True)
 
+    @pytest.mark.parametrize(
+        ('starting', 'delay_s'),
+        [
+            (True, providers.PATIENT_STARTUP_DELAY_S),
+            (False, providers.PATIENT_DELAY_S),
+        ],
+    )
+    def test_entry_that_others_precede_waits_longer(self, starting, delay_s):
+        # Guards against reads by all entries at once when the providers of
+        # all of them are lost, or when all of them start.
+        decision = providers.ReadDecision()
+        for now, reads in (
+            (0.0, False),
+            (0.9 * delay_s, False),
+            (1.01 * delay_s, True),
+        ):
+            assert (
+                decision.update(0, False, 10.0 + now, starting, patient=True)
+                is reads
+            )
+        # A change must be in force 2 s after it was accepted.
+        assert providers.FRESH_S + providers.PATIENT_DELAY_S < 2.0
+
     def test_reader_continues_until_it_has_enough_providers(self):
         # Guards against entries that keep starting and stopping to read
         # while all entries restart, so that none stays fresh.
--- a/packages/entry/src/dragonflyslip_entry/gateway/feeds.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/feeds.py
@@ -26,6 +26,9 @@
 # response may be lost, so the wait and the timeout of the read stay below the
 # 2 s within which a change must be in force.
 READ_WAIT_S = 1.2
+# A copy that was read this recently is not read again, so that providers can
+# confirm it. It still counts as fresh for those that copy from this gateway.
+REREAD_DELAY_S = 0.5
 # Pause after a read with changes, so that the next read returns several.
 READ_PAUSE_S = 0.15
 RETRY_MIN_S = 0.2
@@ -174,12 +177,15 @@
             await asyncio.sleep(random.uniform(RETRY_MIN_S, RETRY_MAX_S))
         gateways = [item for item in page.records if _is_gateway(item)]
         older = self._older_gateways(gateways, own.offset)
-        self.board.fleet.record_count(len(gateways), self.loop.time())
+        now = self.loop.time()
+        self.board.fleet.record_count(len(gateways), now)
         logs.info('registered', order=own.offset, older=len(older))
         self.registered = True
         self.read_decision = provider_types.ReadDecision()
         self.relay.follow(older)
-        self._update(self.loop.time())
+        self.feeds[self.entries_feed].read_at = now
+        self._apply_page(self.entries_feed, page)
+        self._update(now)
 
     def _older_gateways(
         self, gateways: list[feeds.FeedRecord], own_offset: int
@@ -213,14 +219,14 @@
             )
 
     def _update(self, now: float) -> None:
-        self.relay.update(now)
+        self.relay.update(now, self._starting)
         self.board.set_entries(self.board.fleet.entries(now))
         before = self.read_decision.reads
         fresh = self.relay.provider_selector.fresh_count
-        # No gateway that registered earlier is left to copy from.
-        alone = self.registered and not self.relay.provider_selector.order
         if (
-            self.read_decision.update(fresh, alone, now, self._starting)
+            self.read_decision.update(
+                fresh, self._alone, now, self._starting, self._is_patient()
+            )
             != before
         ):
             logs.info(
@@ -240,6 +246,18 @@
             else:
                 self.sink.source_regained(feed)
 
+    @property
+    def _alone(self) -> bool:
+        """Whether no gateway that registered earlier is left to copy from."""
+        return self.registered and not self.relay.provider_selector.order
+
+    def _is_patient(self) -> bool:
+        """Whether other gateways are about to read the store first."""
+        if self._starting:
+            return self.relay.has_live_provider
+        selector = self.relay.provider_selector
+        return selector.first_readers >= provider_types.FIRST_READERS
+
     @property
     def _starting(self) -> bool:
         """Whether this gateway is registered but lacks the copy of a feed."""
@@ -263,19 +281,25 @@
             if not self._must_read.is_set():
                 feed.reading = False
                 await self._must_read.wait()
-            self.board.count('feed_reads')
+            begun_at = self.loop.time()
+            wait_s = 0.0
             if feed.copy.through is None:
+                self.board.count('feed_reads')
                 outcome = await self.log.newest(name)
+            elif (pause_s := self._reread_delay_s(feed, begun_at)) > 0:
+                await asyncio.sleep(pause_s)
+                continue
             else:
                 # The first read does not wait: its response makes the copy
                 # current for this gateway and those that copy from it.
                 wait_s = READ_WAIT_S if feed.reading else 0.0
+                self.board.count('feed_reads')
                 outcome = await self.log.read(name, feed.copy.through, wait_s)
             match outcome:
                 case result.Success(page):
                     failures = 0
                     feed.read_at = self.loop.time()
-                    feed.reading = True
+                    feed.reading = self._alone or not page.complete
                     self.sink.source_regained(name)
                     self._apply_page(name, page)
                     if page.records:
@@ -289,6 +313,15 @@
                     if failures > 1:
                         await asyncio.sleep(self._retry_delay_s())
 
+    def _reread_delay_s(self, feed: _Feed, now: float) -> float:
+        """Return how long to wait before a read that does not wait itself.
+
+        Providers may confirm meanwhile a copy that was just read.
+        """
+        if feed.reading or self._alone:
+            return 0.0
+        return feed.read_at + REREAD_DELAY_S - now
+
     def _retry_delay_s(self) -> float:
         if self.relay.has_provider:
             return random.uniform(FOLLOWER_RETRY_MIN_S, FOLLOWER_RETRY_MAX_S)
@@ -317,6 +350,7 @@
         for record in page.records:
             if not _is_gateway(record):
                 continue
+            self.relay.registration_ended(record.key, record.offset)
             if _is_valid_entry(record):
                 self._gateways.add(record.key)
             else:
--- a/packages/entry/src/dragonflyslip_entry/gateway/relay.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/relay.py
@@ -111,18 +111,25 @@
         )
 
     def follow(self, providers: list[provider_types.Provider]) -> None:
-        """Copy from the best of the gateways that registered earlier."""
+        """Copy from the best of these from the next :meth:`update` on.
+
+        :param providers: the gateways that registered earlier.
+        """
         self.provider_selector = provider_types.ProviderSelector(providers)
-        self.update(self.loop.time())
 
-    def update(self, now: float) -> None:
-        """Check, close and open links; send the status if it is due."""
+    def update(self, now: float, starting: bool = False) -> None:
+        """Check, close and open links; send the status if it is due.
+
+        :param starting: whether this gateway lacks the copy of a feed.
+        """
         for provider_link in list(self._links.values()):
             self._check_provider(provider_link, now)
         for provider in self.provider_selector.unneeded_providers():
             self.provider_selector.disconnected(provider)
             self._links.pop(provider.entry_id).link.close()
-        for provider in self.provider_selector.providers_to_connect(now):
+        for provider in self.provider_selector.providers_to_connect(
+            now, starting
+        ):
             self._open_link(provider)
         self._drop_stale_subscribers(now)
         if now - self._status_at >= STATUS_PERIOD_S:
@@ -148,6 +155,17 @@
             default=float('inf'),
         )
 
+    def registration_ended(self, name: str, before: int) -> None:
+        """Stop copying from a gateway whose registration has ended.
+
+        :param before: offset of the record that ended its registration.
+        """
+        ended = self.provider_selector.registration_ended(name, before)
+        for provider in ended:
+            provider_link = self._links.pop(provider.entry_id, None)
+            if provider_link is not None:
+                provider_link.link.close()
+
     def stop_serving(self) -> None:
         """Stop listening and close the links to subscribers.
 
@@ -174,6 +192,17 @@
             provider_link.states for provider_link in self._links.values()
         )
 
+    @property
+    def has_live_provider(self) -> bool:
+        """Whether a connected provider has sent a status, maybe an empty one.
+
+        One that has just started sends an empty one.
+        """
+        return any(
+            provider_link.status_received_at > float('-inf')
+            for provider_link in self._links.values()
+        )
+
     def _status(self) -> wire.FeedStatus:
         ages = self.ages(self.loop.time())
         states = tuple(
@@ -242,6 +271,10 @@
             )
             return
         link.peer = provider.entry_id
+        if provider not in self.provider_selector.order:
+            # Its registration ended meanwhile.
+            link.close()
+            return
         now = self.loop.time()
         provider_link = _ProviderLink(provider, link, now, now)
         self._links[provider.entry_id] = provider_link
--- a/tests/adapter/test_relays.py
+++ b/tests/adapter/test_relays.py
@@ -34,6 +34,16 @@
     return gateways
 
 
+def _ended_gateway(incarnation: int) -> dict:
+    """Return the registration of a process that has ended."""
+    return {
+        'incarnation': incarnation,
+        'failure_domain': f'zone-{"abc"[incarnation % 3]}',
+        # Nothing listens on this port.
+        'endpoint': '127.0.0.1:1',
+    }
+
+
 async def _wait_until_in_force(platform, gateways) -> None:
     """Publish a change and wait until it is in force at the gateways.
 
@@ -196,6 +206,37 @@
         writer.close()
 
 
+class TestStart:
+    async def test_gateways_copy_though_ended_processes_left_their_records(
+        self, platform
+    ):
+        # Guards against reads of the store by all gateways that start: each
+        # looked for a provider among the processes that ended before.
+        for number in range(40):
+            await platform.store.put(
+                ENTRIES_TOPIC, f'ended-{number}', _ended_gateway(number)
+            )
+        await platform.add_target()
+        await platform.publish()
+        gateways = [await platform.add_gateway() for _ in range(6)]
+        reads = [item.board.counters['feed_reads'] for item in gateways]
+        assert reads[1:] == [0] * 5
+
+    async def test_registration_that_ended_is_no_provider(self, platform):
+        # Guards against connections to the address of a process that has
+        # been replaced or has left.
+        for name in ('replaced', 'left'):
+            await platform.store.put(ENTRIES_TOPIC, name, _ended_gateway(1))
+        await platform.add_target()
+        await platform.publish()
+        gateway = await platform.add_gateway()
+        await platform.store.put(ENTRIES_TOPIC, 'replaced', _ended_gateway(2))
+        await platform.store.put(ENTRIES_TOPIC, 'left', b'')
+        await platform.until(
+            lambda: not gateway.feeds.relay.provider_selector.order
+        )
+
+
 class TestStartOfReading:
     async def test_gateway_that_begins_to_read_is_current_at_once(
         self, platform
