Pause between reads of a store that does not wait

A store that answers a waiting read at once, with status 200 and bytes that hold no whole record, was read again without a pause: three gateways made 4,407 requests in 2 s in the new test, and as many loads of the parser.

A waiting read that ends in less than half of its wait without a record is followed by the pause after a failure, and the copy does not count as being read meanwhile. The counter early_reads shows it. With the change the three gateways stay below 108 requests in 2 s, and follow again once the store responds properly.

--- a/packages/entry/src/dragonflyslip_entry/gateway/feeds.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/feeds.py
@@ -304,6 +304,11 @@
                     self._apply_page(name, page)
                     if page.records:
                         await asyncio.sleep(READ_PAUSE_S)
+                    elif feed.read_at - begun_at < wait_s / 2:
+                        # A store that does not wait would be read without end.
+                        self.board.count('early_reads')
+                        feed.reading = False
+                        await asyncio.sleep(self._retry_delay_s())
                 case result.Failure(error):
                     feed.reading = False
                     self.sink.source_lost(name, error.message)
--- a/tests/adapter/test_relays.py
+++ b/tests/adapter/test_relays.py
@@ -257,6 +257,21 @@
 
 
 class TestStoreFaults:
+    async def test_store_that_does_not_wait_is_read_with_pauses(
+        self, platform
+    ):
+        # Guards against reads without end of a store whose responses hold no
+        # whole record.
+        gateways = await _start(platform, 3)
+        await asyncio.sleep(feeds.REREAD_DELAY_S)
+        platform.store.fault = store_types.StoreFault.PARTIAL
+        before = platform.store.requests
+        await asyncio.sleep(2.0)
+        # Each feed of each gateway may be read some times in a second.
+        assert platform.store.requests - before <= 3 * 3 * 2 * 6
+        platform.store.fault = store_types.StoreFault.NONE
+        await _wait_until_in_force(platform, gateways)
+
     async def test_all_gateways_follow_again_after_an_outage(self, platform):
         gateways = await _start(platform, 4)
         platform.store.fault = store_types.StoreFault.BUSY
