Keep to targets that say they are leaving or ask for a pause

A target that leaves says so in all its answers (Server-Leaving), and one that turns a request away may ask for a pause (503 with Retry-After). No gateway read either header: requests went on to both until the store told of the end, and the refusing target was asked again at once.

What a target says of itself is translated in the adapter; the directory keeps who is leaving until a newer process registers, and the standing of a target its pause (300 s at most). Both are checked at the choice, after the probe and in the step of the write. Other gateways are not told; each hears it with its next probe.

--- a/packages/core/src/dragonflyslip_core/directory.py
+++ b/packages/core/src/dragonflyslip_core/directory.py
@@ -76,6 +76,8 @@
         self.domains_out: set[str] = set()
         self.generation = 0
         self._last_accepted: dict[str, tuple[int, int]] = {}
+        # Start times (Unix ms) of the processes that said they are leaving.
+        self._leaving: dict[str, int] = {}
         self._grace_until = float('-inf')
         self._by_service: dict[str, list[RegisteredTarget]] = {}
         self._indexed_generation = -1
@@ -155,6 +157,26 @@
         self.generation += 1
         return True
 
+    def set_leaving(self, target_id: str) -> bool:
+        """Record that a target itself says that it is leaving.
+
+        It holds until the target registers with a later start.
+
+        :return: whether this is new.
+        """
+        target = self.targets.get(target_id)
+        if target is None or self._is_leaving(target.registration):
+            return False
+        self._leaving[target_id] = target.registration.started_at_ms
+        self.generation += 1
+        return True
+
+    def _is_leaving(self, registration: Registration) -> bool:
+        left_at_ms = self._leaving.get(registration.target_id)
+        return left_at_ms is not None and (
+            registration.started_at_ms <= left_at_ms
+        )
+
     def expire(self, now: float) -> list[str]:
         """Remove targets whose delayed removal is due; return their ids."""
         gone = [
@@ -180,6 +202,7 @@
             target is not None
             and target.registration.service == service
             and not target.registration.draining
+            and not self._is_leaving(target.registration)
             and target.registration.failure_domain not in self.domains_out
         )
 
--- a/packages/core/src/dragonflyslip_core/placement.py
+++ b/packages/core/src/dragonflyslip_core/placement.py
@@ -28,6 +28,8 @@
 # Weight of one request in the average of failures.
 FAILURE_WEIGHT = 0.5
 FAILURE_HALF_LIFE_S = 4.0
+# Longest pause that a target can ask for at once.
+MAX_PAUSE_S = 300.0
 # Assumed for a target that reports no slots.
 MIN_SLOTS = 1
 
@@ -59,6 +61,9 @@
     :param cold_s: seconds until the target is warm and can take full load.
     :param limit: requests a second that the target takes from all entries
         together; None if it states no limit.
+    :param leaving: whether the target says that it will end soon.
+    :param pause_s: seconds for which the target wants nothing from this
+        entry; None if it does not ask for a pause.
     """
 
     target_id: str | None
@@ -66,6 +71,8 @@
     load: LoadReading | None
     cold_s: float
     limit: float | None = None
+    leaving: bool = False
+    pause_s: float | None = None
 
 
 @dataclasses.dataclass
@@ -77,6 +84,7 @@
     :param unseen: own requests that no load reading includes yet.
     :param cold_until: when the target will be warm, by its last reading.
     :param skip_until: until when the target is not asked for its load.
+    :param paused_until: end of the pause that the target asked for.
     """
 
     failure_average: float = 0.0
@@ -84,6 +92,14 @@
     unseen: int = 0
     cold_until: float = float('-inf')
     skip_until: float = float('-inf')
+    paused_until: float = float('-inf')
+
+    def pause(self, pause_s: float, now: float) -> None:
+        """Record that the target wants nothing for some time.
+
+        :param pause_s: seconds; at most ``MAX_PAUSE_S`` are kept to.
+        """
+        self.paused_until = now + min(pause_s, MAX_PAUSE_S)
 
     def decayed_failure(self, now: float) -> float:
         """Return the failure average after its decay until ``now``, 0 to 1."""
--- a/packages/entry/src/dragonflyslip_entry/gateway/adapters.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/adapters.py
@@ -43,6 +43,9 @@
     :param load: load of the target, if stated.
     :param limit: requests a second that the target takes from all gateways
         together, if stated.
+    :param leaving: whether the target says that it will end soon.
+    :param pause_s: seconds for which the target wants nothing from this
+        gateway, if it asks for a pause.
     """
 
     request_id: str | None
@@ -51,6 +54,8 @@
     wrong_target: bool
     load: placement.LoadReading | None
     limit: float | None = None
+    leaving: bool = False
+    pause_s: float | None = None
 
 
 class Dialect(typing.Protocol):
--- a/packages/entry/src/dragonflyslip_entry/gateway/board.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/board.py
@@ -131,6 +131,18 @@
             self.count('target_limits')
             logs.request('target limit', target=target_id, limit=limit)
 
+    def record_leaving(self, target_id: str) -> None:
+        """Record that a target says that it is leaving; log it once."""
+        if self.directory.set_leaving(target_id):
+            self.count('targets_leaving')
+            logs.info('target says it is leaving', target=target_id)
+
+    def record_pause(self, target_id: str, pause_s: float, now: float) -> None:
+        """Record and log that a target wants nothing for some seconds."""
+        self.standing_of(target_id).pause(pause_s, now)
+        self.count('target_pauses')
+        logs.request('target asks for a pause', target=target_id, s=pause_s)
+
     def forget_target(self, target_id: str) -> None:
         """Delete the state of a target that is gone."""
         self.standings.pop(target_id, None)
--- a/packages/entry/src/dragonflyslip_entry/gateway/probing.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/probing.py
@@ -147,6 +147,12 @@
                 target_limits.Source.HEALTH,
                 now,
             )
+            if probed.reading.leaving:
+                self.board.record_leaving(target.target_id)
+            if probed.reading.pause_s is not None:
+                self.board.record_pause(
+                    target.target_id, probed.reading.pause_s, now
+                )
 
     def _record_overlong(
         self,
--- a/packages/entry/src/dragonflyslip_entry/gateway/sending.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/sending.py
@@ -139,6 +139,9 @@
                 probed.target.target_id, probed.target.service
             ):
                 raise _NotSent('target-withdrawn')
+            standing = self.board.standing_of(probed.target.target_id)
+            if standing.paused_until > now:
+                raise _NotSent('target-paused')
             if not call.can_end(now):
                 raise _NotSent('gateway-stopping')
             if not self.board.target_limits.take(probed.target.target_id, now):
@@ -179,7 +182,7 @@
             )
             if metadata.request_id == call.request_id:
                 connection.answered_ids.add(call.request_id)
-                self._record_limit(probed, metadata)
+                self._record_statements(probed, metadata)
                 if metadata.not_run:
                     return await self._read_refusal(
                         call, connection, response, metadata
@@ -193,18 +196,23 @@
             response = await connection.read_head(call.method)
         return ResponseLost('response to another request')
 
-    def _record_limit(
+    def _record_statements(
         self,
         probed: probing.ProbedTarget,
         metadata: adapters.ResponseMetadata,
     ) -> None:
-        if not metadata.wrong_target:
-            self.board.record_limit(
-                probed.target.target_id,
-                metadata.limit,
-                target_limits.Source.REQUEST,
-                self.loop.time(),
-            )
+        """Record what the target says of itself beside its response."""
+        if metadata.wrong_target:
+            return
+        target_id = probed.target.target_id
+        now = self.loop.time()
+        self.board.record_limit(
+            target_id, metadata.limit, target_limits.Source.REQUEST, now
+        )
+        if metadata.leaving:
+            self.board.record_leaving(target_id)
+        if metadata.not_run and metadata.pause_s is not None:
+            self.board.record_pause(target_id, metadata.pause_s, now)
 
     async def _read_refusal(
         self,
--- a/packages/entry/src/dragonflyslip_entry/gateway/target_selection.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/target_selection.py
@@ -100,11 +100,14 @@
             return 'targets-busy'
         now = self.loop.time()
         limits = self.board.target_limits
-        limited = any(
-            limits.limit(target.target_id, now) is not None
-            for target in self.board.directory.usable_targets(rules.name)
+        usable = self.board.directory.usable_targets(rules.name)
+        if any(limits.limit(t.target_id, now) is not None for t in usable):
+            return 'targets-limited'
+        paused = usable and all(
+            self.board.standing_of(target.target_id).paused_until > now
+            for target in usable
         )
-        return 'targets-limited' if limited else 'no-target'
+        return 'targets-paused' if paused else 'no-target'
 
     def _is_good(self, chosen: probing.ProbedTarget) -> bool:
         option = self._option(chosen, False)
@@ -128,7 +131,7 @@
             target
             for target in self.board.directory.usable_targets(rules.name)
             if target.target_id not in tried
-            and self.board.standing_of(target.target_id).skip_until <= now
+            and self._may_probe(target.target_id, now)
             and (not limits.has_any or limits.allows(target.target_id, now))
         ]
         warm = [
@@ -156,6 +159,10 @@
             self.board.rng,
         )
 
+    def _may_probe(self, target_id: str, now: float) -> bool:
+        standing = self.board.standing_of(target_id)
+        return max(standing.skip_until, standing.paused_until) <= now
+
     def _sample_limited(
         self,
         rules: manifest_types.ServiceRules,
@@ -176,6 +183,7 @@
             for target in self.board.directory.usable_targets(rules.name)
             if target.target_id not in tried
             and not limits.allows(target.target_id, now)
+            and self.board.standing_of(target.target_id).paused_until <= now
             and limits.age_s(target.target_id, now) >= target_limits.REFRESH_S
         ]
         longest = max(
@@ -255,10 +263,12 @@
 
     def _is_usable(self, item: probing.ProbedTarget) -> bool:
         # The directory may have changed during the probe.
-        return self.board.directory.is_usable(
-            item.target.target_id, item.target.service
-        ) and self.board.target_limits.allows(
-            item.target.target_id, self.loop.time()
+        now = self.loop.time()
+        target_id = item.target.target_id
+        return (
+            self.board.directory.is_usable(target_id, item.target.service)
+            and self.board.standing_of(target_id).paused_until <= now
+            and self.board.target_limits.allows(target_id, now)
         )
 
     def _option(
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -547,6 +547,27 @@
         'if False:',
         'tests/adapter/test_late_requests.py',
     ),
+    Mutation(
+        'leaving-ignored',
+        f'{_CORE}/directory.py',
+        'and not self._is_leaving(target.registration)',
+        'and True',
+        'tests/adapter/test_statements.py::TestLeaving',
+    ),
+    Mutation(
+        'pause-not-checked-at-the-write',
+        f'{_GATEWAY}/sending.py',
+        'if standing.paused_until > now:',
+        'if False:',
+        'tests/adapter/test_statements.py::TestPause',
+    ),
+    Mutation(
+        'pause-ignored',
+        f'{_CORE}/placement.py',
+        'self.paused_until = now + min(pause_s, MAX_PAUSE_S)',
+        'self.paused_until = now',
+        'tests/adapter/test_statements.py::TestPause',
+    ),
     Mutation(
         'unknown-kind-repeated',
         f'{_CORE}/manifest.py',
