Ask a target again if the request was held up after its answer

A gateway process that is paused between the choice of a target and the write sent the request on what the target had said before the pause: it may have left, turned cold or stated a limit meanwhile. The same happens to a body that begins to arrive late.

An answer to a probe is valid for 1 s, counted with suspensions of the machine, which the event loop's clock does not see. An older one sends nothing; the target is asked again. What cannot be excluded is a pause between this check and the write, which are one step of the loop.

The five tests of test_paused_gateway.py fail with the check removed (a mutation), the one of a suspended machine also with the loop's clock.

--- a/packages/entry/src/dragonflyslip_entry/gateway/handling.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/handling.py
@@ -237,6 +237,9 @@
             call.reason = outcome.reason
             if len(call.sent_to) == sent_before:
                 unwritten += 1
+                if outcome.reason == sending.OUTDATED_REASON:
+                    # The target is not at fault and may be probed again.
+                    excluded.discard(probed.target.target_id)
                 if unwritten < MAX_UNWRITTEN_SENDS and (
                     body is None or body.can_restart
                 ):
--- a/packages/entry/src/dragonflyslip_entry/gateway/probing.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/probing.py
@@ -15,6 +15,7 @@
 from dragonflyslip_core import target_limits
 from dragonflyslip_entry.gateway import adapters
 from dragonflyslip_entry.gateway import board as board_types
+from dragonflyslip_entry.gateway import clocks
 from dragonflyslip_entry.gateway import target_pools
 from dragonflyslip_entry import http_connection
 from dragonflyslip_entry import logs
@@ -26,6 +27,10 @@
 # during the pause.
 PROBE_TIMEOUT_S = 0.3
 PROBE_PAUSE_S = 1.0
+# A request that is written later than this after the answer was held up, such
+# as in a process that was paused. The target may have left meanwhile, and its
+# cold time, limit or load may be others.
+MAX_PROBE_AGE_S = 1.0
 MAX_HEALTH_BODY_BYTES = 65_536
 
 
@@ -35,12 +40,22 @@
 
     :param connection: the connection on which it answered, or one that was
         opened after its answer.
+    :param answered_at: when it answered, see
+        :func:`.clocks.elapsed_clock_s`.
     """
 
     target: directory.Registration
     pool: target_pools.TargetPool
     connection: http_connection.HttpConnection
     reading: placement.HealthReading
+    answered_at: float
+
+    def is_outdated(self, now: float) -> bool:
+        """Whether the answer is too old to send a request because of it.
+
+        :param now: time of :func:`.clocks.elapsed_clock_s`.
+        """
+        return now - self.answered_at > MAX_PROBE_AGE_S
 
     @property
     def expected_work(self) -> float:
@@ -209,7 +224,9 @@
             # block one of its workers for each open one.
             connection.protocol.force_close()
         connection.set_idle()
-        return ProbedTarget(target, pool, connection, reading)
+        return ProbedTarget(
+            target, pool, connection, reading, clocks.elapsed_clock_s()
+        )
 
     async def identify(
         self, target: directory.Registration, path: str
--- a/packages/entry/src/dragonflyslip_entry/gateway/sending.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/sending.py
@@ -8,6 +8,7 @@
 from dragonflyslip_entry.gateway import adapters
 from dragonflyslip_entry.gateway import board as board_types
 from dragonflyslip_entry.gateway import calls
+from dragonflyslip_entry.gateway import clocks
 from dragonflyslip_entry.gateway import crash_reports
 from dragonflyslip_entry.gateway import probing
 from dragonflyslip_entry import http_connection
@@ -22,6 +23,8 @@
 MAX_FOREIGN_BODY_BYTES = 262_144
 MAX_REFUSAL_BODY_BYTES = 65_536
 REFUSAL_BODY_TIMEOUT_S = 0.1
+# Reason of a send that was held up after its target had answered a probe.
+OUTDATED_REASON = 'probe-outdated'
 # Characters of an error in the reason of a failure.
 MAX_ERROR_TEXT_LENGTH = 200
 
@@ -135,6 +138,8 @@
 
     def _pre_send_check(self, call: calls.Call, probed: probing.ProbedTarget):
         def check(now: float) -> None:
+            if probed.is_outdated(clocks.elapsed_clock_s()):
+                raise _NotSent(OUTDATED_REASON)
             if not self.board.directory.is_usable(
                 probed.target.target_id, probed.target.service
             ):
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -568,6 +568,20 @@
         'self.paused_until = now',
         'tests/adapter/test_statements.py::TestPause',
     ),
+    Mutation(
+        'outdated-probe-believed',
+        f'{_GATEWAY}/sending.py',
+        'raise _NotSent(OUTDATED_REASON)',
+        'pass',
+        'tests/adapter/test_paused_gateway.py',
+    ),
+    Mutation(
+        'suspension-not-seen',
+        f'{_GATEWAY}/sending.py',
+        'if probed.is_outdated(clocks.elapsed_clock_s()):',
+        'if probed.is_outdated(now):',
+        'tests/adapter/test_paused_gateway.py',
+    ),
     Mutation(
         'unknown-kind-repeated',
         f'{_CORE}/manifest.py',
