Let an unexpected exception end a step, not a gateway

A controller that failed stopped its gateway, so that it does not go on with stale state. A record that raises an exception which no one expects is read by every gateway, again at each start: one such record would end them all. So would a failure in the periodic maintenance.

Exceptions while a page of records is applied, and in the maintenance, are logged with their traceback and counted (program_faults); the next page and the next run follow. Readers and links still stop the gateway if they fail.

The two tests of unexpected exceptions fail without the change: the gateway stops.

--- a/packages/entry/src/dragonflyslip_entry/gateway/daemon.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/daemon.py
@@ -157,10 +157,17 @@
     async def _run_maintenance(self) -> None:
         while True:
             await asyncio.sleep(MAINTENANCE_PERIOD_S)
-            self.topology.expire()
-            self.crashes.expire(self.feeds.read_decision.reads)
-            self.pools.close_idle(self.loop.time())
-            logs.flush_summary(self.loop.time())
+            try:
+                self._maintain()
+            except Exception as error:
+                self.board.count('program_faults')
+                logs.LOGGER.error('maintenance failed', exc_info=error)
+
+    def _maintain(self) -> None:
+        self.topology.expire()
+        self.crashes.expire(self.feeds.read_decision.reads)
+        self.pools.close_idle(self.loop.time())
+        logs.flush_summary(self.loop.time())
 
     async def _start_http_server(
         self, endpoint: str, path: str, handler: typing.Any
--- a/packages/entry/src/dragonflyslip_entry/gateway/feeds.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/feeds.py
@@ -340,13 +340,26 @@
         if changes is not None:
             if self._ages(self.loop.time())[name] <= SOURCE_LOST_AGE_S:
                 self.sink.source_regained(name)
+            self._apply_changes(name, changes)
+        if feed.copy.through != before:
+            self.relay.announce()
+
+    def _apply_changes(self, name: str, changes: feeds.FeedPage) -> None:
+        try:
             if name == self.entries_feed:
                 self._apply_gateways(changes)
                 self.crashes.apply(changes)
             else:
                 self.decoder.apply(name, changes)
-        if feed.copy.through != before:
-            self.relay.announce()
+        except Exception as error:
+            # Every gateway reads these records. An unexpected one must not
+            # end them all, each time they start.
+            self.board.count('program_faults')
+            logs.LOGGER.error(
+                'changes could not be applied',
+                exc_info=error,
+                extra={'feed': name, 'through': changes.through},
+            )
 
     def _apply_gateways(self, page: feeds.FeedPage) -> None:
         """Apply registrations of gateways."""
--- /dev/null
+++ b/tests/test_fuzz_parsers.py
@@ -0,0 +1,164 @@
+"""Seeded fuzzing of all parsers, and of a gateway that serves meanwhile."""
+
+import asyncio
+import contextlib
+import random
+
+import pytest
+
+import dragonflyslip_emulator as emulator
+from dragonflyslip_emulator import store as store_types
+from dragonflyslip_testing import ports
+from tests.adapter import callers
+from tests.adapter import conftest
+from tests import fuzz_parsers
+
+platform = conftest.platform
+
+EXAMPLES = 1_500
+LIVE_EXAMPLES = 120
+# Time in which a gateway reads what a connection has brought.
+ARRIVAL_S = 0.004
+
+
+async def _send_bytes(port: int, data: bytes) -> None:
+    _, writer = await asyncio.open_connection('127.0.0.1', port)
+    with contextlib.suppress(OSError):
+        writer.write(data)
+        await writer.drain()
+        await asyncio.sleep(ARRIVAL_S)
+    writer.close()
+
+
+async def _assert_serves(platform) -> None:
+    assert not platform.running.done()
+    assert (await platform.call()).status == 200
+
+
+class TestParsers:
+    @pytest.mark.parametrize('name', fuzz_parsers.PARSERS)
+    def test_mutated_input_raises_only_declared_errors(self, name):
+        # Guards against input that ends the task, or the process, that
+        # reads it.
+        parser = fuzz_parsers.PARSERS[name]
+        assert fuzz_parsers.run(parser, EXAMPLES, seed=7) is None
+
+    @pytest.mark.parametrize('name', fuzz_parsers.PARSERS)
+    def test_examples_are_valid(self, name):
+        # Guards against examples that a parser refuses before it parses.
+        parser = fuzz_parsers.PARSERS[name]
+        for example in parser.examples:
+            parsed = parser.parse(example)
+            assert 'Failure' not in type(parsed).__name__
+
+
+class TestLiveGateway:
+    async def test_gateway_serves_on_after_mutated_requests(self, platform):
+        # Guards against a request that ends the gateway or its listener.
+        await platform.add_target()
+        await platform.publish()
+        await platform.start()
+        rng = random.Random(7)
+        heads = [
+            callers.encode_request('/safe/1'),
+            callers.encode_request('/unsafe/1', 'POST', Content_Length=3)
+            + b'abc',
+            callers.encode_request(
+                '/unsafe/1', 'POST', Transfer_Encoding='chunked'
+            )
+            + b'3\r\nabc\r\n0\r\n\r\n',
+        ]
+        for _ in range(LIVE_EXAMPLES):
+            data = fuzz_parsers.mutate(rng.choice(heads), rng)
+            await _send_bytes(platform.port, data)
+        await _assert_serves(platform)
+
+    async def test_gateway_serves_on_after_mutated_responses(self, platform):
+        # Guards against a response of a target, or of its health path, that
+        # ends the gateway.
+        await platform.add_target()
+        await platform.publish()
+        await platform.start()
+        rng = random.Random(7)
+        target = platform.targets[0]
+        sent = []
+        encode = emulator.messages.ResponseHead.encode_response
+
+        async def serve(reader, writer) -> None:
+            with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+                while True:
+                    head = await reader.readuntil(b'\r\n\r\n')
+                    request = emulator.messages.parse_head(head)
+                    response = encode(
+                        emulator.messages.ResponseHead(
+                            '0,0,2,100',
+                            request.headers.get('x-request-id'),
+                            {
+                                'X-Instance-Id': 'i-odd',
+                                'X-Server-Stamp': 'stamp',
+                            },
+                        ),
+                        200,
+                        b'body',
+                    )
+                    if rng.random() < 0.5:
+                        response = fuzz_parsers.mutate(response, rng)
+                    sent.append(response)
+                    writer.write(response)
+                    await writer.drain()
+            writer.close()
+
+        port = ports.free_port()
+        server = await asyncio.start_server(serve, '127.0.0.1', port)
+        record = target.next_registration()
+        record['address'] = f'127.0.0.1:{port}'
+        await platform.store.put(store_types.TARGET_TOPIC, 'i-odd', record)
+        known = platform.gateway.board.directory.targets
+        await platform.until(lambda: 'i-odd' in known)
+        for _ in range(LIVE_EXAMPLES):
+            reply = await platform.call(wait_ms=500)
+            assert reply.broken or reply.status in (200, 502, 503, 504)
+            # An odd target is probed again only after a pause.
+            standing = platform.gateway.board.standing_of('i-odd')
+            standing.skip_until = standing.paused_until = 0.0
+        assert len(sent) > LIVE_EXAMPLES / 2
+        server.close()
+        await platform.store.put(store_types.TARGET_TOPIC, 'i-odd', b'')
+        await platform.until(lambda: 'i-odd' not in known)
+        await _assert_serves(platform)
+
+    async def test_record_that_no_controller_expects_ends_no_gateway(
+        self, platform
+    ):
+        # Guards against an unexpected exception for a record that each
+        # gateway reads at its start.
+        await platform.add_target()
+        await platform.publish()
+        await platform.start()
+        decoder = platform.gateway.feeds.decoder
+        apply = decoder.apply
+
+        def fail(*arguments) -> None:
+            decoder.apply = apply
+            raise KeyError('unexpected')
+
+        decoder.apply = fail
+        await platform.publish()
+        board = platform.gateway.board
+        await platform.until(lambda: board.counters['program_faults'] == 1)
+        await _assert_serves(platform)
+        await platform.publish()
+        await platform.until(lambda: board.manifest.version == 3)
+
+    async def test_failed_maintenance_ends_no_gateway(self, platform):
+        await platform.add_target()
+        await platform.publish()
+        await platform.start()
+
+        def fail() -> None:
+            raise KeyError('unexpected')
+
+        platform.gateway.topology.expire = fail
+        counters = platform.gateway.board.counters
+        await platform.until(lambda: counters['program_faults'] >= 2)
+        await _assert_serves(platform)
