Take pages of feeds from providers only

A gateway applied each page that arrived on any link between gateways, also on one that another process had opened: the fuzzing of frames brought a manifest into force that the store did not hold, and requests got 404.

A page is applied only if it arrives on a link that this gateway opened to a provider; others are counted (peer_unasked_pages). The two tests of frames in test_fuzz_parsers.py failed before.

--- a/packages/entry/src/dragonflyslip_entry/gateway/relay.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/relay.py
@@ -302,8 +302,7 @@
             case wire.FeedStatus():
                 self._handle_status(link, message)
             case wire.FeedPush():
-                self._pulled_at.pop(message.name, None)
-                self._handle_page(message)
+                self._handle_page(link, message)
             case wire.Hello():
                 # The process to which this gateway subscribed has ended.
                 self._handle_refusal(link, message)
@@ -366,7 +365,15 @@
         self.board.fleet.record_count(message.entries, now)
         self._check_provider(provider_link, now)
 
-    def _handle_page(self, message: wire.FeedPush) -> None:
+    def _handle_page(
+        self, link: peer_links.PeerLink, message: wire.FeedPush
+    ) -> None:
+        if all(known.link is not link for known in self._links.values()):
+            # Only a provider is asked for pages. Another process might bring
+            # a record into force that the store does not hold.
+            self.board.count('peer_unasked_pages')
+            return
+        self._pulled_at.pop(message.name, None)
         copy = self.copies.get(message.name)
         if copy is None:
             return
--- a/tests/test_fuzz_parsers.py
+++ b/tests/test_fuzz_parsers.py
@@ -73,6 +73,34 @@
             await _send_bytes(platform.port, data)
         await _assert_serves(platform)
 
+    async def test_gateway_serves_on_after_mutated_frames(self, platform):
+        # Guards against a message between gateways that ends the receiver.
+        await platform.add_target()
+        await platform.publish()
+        await platform.start()
+        host, _, port = platform.gateway.options.peer_listen.rpartition(':')
+        rng = random.Random(7)
+        (example,) = fuzz_parsers.PARSERS['frames'].examples
+        for _ in range(LIVE_EXAMPLES):
+            await _send_bytes(int(port), fuzz_parsers.mutate(example, rng))
+        await _assert_serves(platform)
+
+    async def test_page_of_a_process_that_is_no_provider_is_ignored(
+        self, platform
+    ):
+        # Guards against any process that connects to the port for other
+        # gateways and brings a manifest into force.
+        await platform.add_target()
+        await platform.publish()
+        await platform.start()
+        host, _, port = platform.gateway.options.peer_listen.rpartition(':')
+        (example,) = fuzz_parsers.PARSERS['frames'].examples
+        await _send_bytes(int(port), example)
+        board = platform.gateway.board
+        await platform.until(lambda: board.counters['peer_unasked_pages'])
+        assert board.manifest.version == 1
+        await _assert_serves(platform)
+
     async def test_gateway_serves_on_after_mutated_responses(self, platform):
         # Guards against a response of a target, or of its health path, that
         # ends the gateway.
