Close the connections of the odd target in a test

The connections that the fuzzing test's target had accepted were open when its event loop closed, which left a warning in one of two runs. No check changes.

--- a/tests/test_fuzz_parsers.py
+++ b/tests/test_fuzz_parsers.py
@@ -27,7 +27,7 @@
         writer.write(data)
         await writer.drain()
         await asyncio.sleep(ARRIVAL_S)
-    writer.close()
+    writer.transport.abort()
 
 
 async def _assert_serves(platform) -> None:
@@ -112,7 +112,10 @@
         sent = []
         encode = emulator.messages.ResponseHead.encode_response
 
+        writers = []
+
         async def serve(reader, writer) -> None:
+            writers.append(writer)
             with contextlib.suppress(OSError, asyncio.IncompleteReadError):
                 while True:
                     head = await reader.readuntil(b'\r\n\r\n')
@@ -134,7 +137,6 @@
                     sent.append(response)
                     writer.write(response)
                     await writer.drain()
-            writer.close()
 
         port = ports.free_port()
         server = await asyncio.start_server(serve, '127.0.0.1', port)
@@ -151,6 +153,8 @@
             standing.skip_until = standing.paused_until = 0.0
         assert len(sent) > LIVE_EXAMPLES / 2
         server.close()
+        for writer in writers:
+            writer.transport.abort()
         await platform.store.put(store_types.TARGET_TOPIC, 'i-odd', b'')
         await platform.until(lambda: 'i-odd' not in known)
         await _assert_serves(platform)
