Check for crashes again when a request is written

A request whose body began late was checked when it arrived only. If it crashed three targets meanwhile, sent by other callers, it was still written to a fourth. The check now comes again right before the write, with no await in between, and a short body identifies the request with its last bytes.

--- a/packages/core/src/dragonflyslip_core/request_crashes.py
+++ b/packages/core/src/dragonflyslip_core/request_crashes.py
@@ -165,6 +165,10 @@
         for crash, age_s in listed:
             self.add(crash, now, age_s, shared=True)
 
+    def is_refused(self, identity: str) -> bool:
+        """Return whether a request may be sent as a trial only."""
+        return _is_refused(self._counted(identity))
+
     def admit(self, identity: str, now: float) -> float | None:
         """Decide whether a request may be sent.
 
--- a/packages/entry/src/dragonflyslip_entry/gateway/calls.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/calls.py
@@ -40,6 +40,8 @@
     :param stop_at: when the gateway's stop ends the request; infinite unless
         it is stopping.
     :param streaming: whether the response is sent while it arrives.
+    :param is_crash_trial: whether it may be sent although it was in flight at
+        several crashes.
     """
 
     request_id: str
@@ -59,6 +61,7 @@
     reason: str = ''
     stop_at: float = math.inf
     streaming: bool = False
+    is_crash_trial: bool = False
 
     @functools.cached_property
     def path_identity(self) -> str:
@@ -190,7 +193,8 @@
             raise errors.CallerBodyError(
                 f'request body ended early: {error!r}'
             ) from error
-        self.complete = not chunk
+        # Known at the last bytes already, so that they identify a short body.
+        self.complete = not chunk or self.request.content.at_eof()
         self._keep(chunk)
         return chunk
 
--- a/packages/entry/src/dragonflyslip_entry/gateway/crash_reports.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/crash_reports.py
@@ -101,6 +101,7 @@
         if body is not None:
             await body.read_head()
         identity = calls.identity_of(call, body)
+        call.is_crash_trial = self.crashes.is_refused(identity)
         wait_s = self.crashes.admit(identity, self.loop.time())
         if wait_s is not None:
             self.board.count('crashing_requests_refused')
@@ -126,6 +127,18 @@
         identity = calls.identity_of(call, body)
         return 0 if identity is None else self.crashes.depth(identity)
 
+    def is_refused(
+        self, call: calls.Call, body: calls.RequestBody | None
+    ) -> bool:
+        """Return whether a request must not be written any more.
+
+        Crashes may have become known since :meth:`refused_for_s`.
+        """
+        if call.is_crash_trial or not self.is_known(call):
+            return False
+        identity = calls.identity_of(call, body)
+        return identity is not None and self.crashes.is_refused(identity)
+
     async def response_lost(
         self,
         call: calls.Call,
--- a/packages/entry/src/dragonflyslip_entry/gateway/sending.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/sending.py
@@ -101,7 +101,9 @@
         standing = self.board.standing_of(probed.target.target_id)
         standing.unseen += 1
         outcome: SendOutcome | None = None
-        attempt = http_connection.Attempt(self._pre_send_check(call, probed))
+        attempt = http_connection.Attempt(
+            self._pre_send_check(call, probed, body)
+        )
         try:
             outcome = await self._exchange(call, probed, body, attempt)
         except http_connection.CONNECTION_ERRORS as error:
@@ -136,8 +138,15 @@
         else:
             probed.connection.close()
 
-    def _pre_send_check(self, call: calls.Call, probed: probing.ProbedTarget):
+    def _pre_send_check(
+        self,
+        call: calls.Call,
+        probed: probing.ProbedTarget,
+        body: calls.RequestBody | None,
+    ):
         def check(now: float) -> None:
+            if self.crashes.is_refused(call, body):
+                raise _NotSent('crashes-targets')
             if probed.is_outdated(clocks.elapsed_clock_s()):
                 raise _NotSent(OUTDATED_REASON)
             if not self.board.directory.is_usable(
