Suspect a crash until the target is heard of again

Callers saw 502 after 502 for a request that ended one target after another, 18 to 55 times later than 3 s after the third crash; 3 are allowed.

Cause: the absence of proof of an end counted as proof of life. A target was asked three times within 0.3 s after a lost response; silence, a reset or an answer without an id then cleared it for good, and nothing looked again. The same class hid crashes elsewhere: none was suspected if the caller left or the time was over before the connection broke, or in a streamed response, whose first part even counted as a success; a process that restarted under its id was taken for the old one; and records beyond 32 pending writes were dropped.

A target with an unanswered request is now suspected until it answers, also to a probe, or is known to have ended, by a refused connection, another target at its address, or a newer process under its id. If it leaves two questions unanswered, it counts as a crash meanwhile, at all gateways. Once it answers, the record is deleted, so common requests that were in flight at a cut network are accepted again. Records wait for the store in one queue, the deepest first, with one write per record at a time.

--- a/packages/core/src/dragonflyslip_core/directory.py
+++ b/packages/core/src/dragonflyslip_core/directory.py
@@ -6,6 +6,7 @@
 """
 
 import collections
+import collections.abc
 import dataclasses
 
 # Registrations may expire during an outage of the registry, which stores
@@ -69,9 +70,14 @@
     Times are monotonic seconds.
 
     :ivar generation: incremented whenever the usable targets may change.
+    :ivar on_restart: called with a target's id and the start time (Unix ms) of
+        its last process, once a newer process has registered.
     """
 
     def __init__(self):
+        self.on_restart: collections.abc.Callable[[str, int], None] = (
+            lambda target_id, started_at_ms: None
+        )
         self.targets: dict[str, RegisteredTarget] = {}
         self.domains_out: set[str] = set()
         self.generation = 0
@@ -100,6 +106,8 @@
         if last is not None and registration.recency_key <= last:
             return False
         self._last_accepted[target_id] = registration.recency_key
+        if last is not None and registration.started_at_ms > last[0]:
+            self.on_restart(target_id, last[0])
         known = self.targets.get(target_id)
         self.targets[target_id] = RegisteredTarget(registration, now)
         if known is None or _has_relevant_change(
--- a/packages/core/src/dragonflyslip_core/request_crashes.py
+++ b/packages/core/src/dragonflyslip_core/request_crashes.py
@@ -12,10 +12,15 @@
 
 A success takes back the crashes of the highest depth, since a common request
 is in flight at many crashes and also succeeds.
+
+A lost response does not prove a crash, and a silent address does not prove
+that a target lives. So a crash is suspected from the loss on, until the same
+process is heard of again or is known to have ended.
 """
 
 import collections
 import dataclasses
+import enum
 
 from dragonflyslip_core import request_identity
 
@@ -35,15 +40,34 @@
 TRIAL_TIMEOUT_S = 10.0
 # Shortest time until a refused caller may come back.
 MIN_RETRY_AFTER_S = 1.0
+# A process that seems to run may be a new one under the same id. Its
+# registration shows that, if it is read within this time.
+RESTART_NOTICE_S = 15.0
 # Bounds the memory that a failure of many targets, or a faulty entry, uses.
 MAX_CRASHES = 4096
 # One of so many records is dropped when there are too many.
 DROPPED_FRACTION = 8
 
 
+class ProcessState(enum.Enum):
+    """What is known of a target's process since a response was lost."""
+
+    # It has been asked, and the result is not known yet.
+    UNKNOWN = 'unknown'
+    # It does not answer, and is not known to have ended.
+    MISSING = 'missing'
+    # It is known to have ended.
+    ENDED = 'ended'
+    # It, or a new process under its id, has answered.
+    RUNNING = 'running'
+
+
+OPEN_STATES = frozenset({ProcessState.UNKNOWN, ProcessState.MISSING})
+
+
 @dataclasses.dataclass(frozen=True)
 class RequestCrash:
-    """A crash of a target while a request was in flight there.
+    """A crash, or suspected crash, of a target that had a request in flight.
 
     :param identity: identity of the request.
     :param target_life: identifies the process of the target.
@@ -65,18 +89,30 @@
 
 @dataclasses.dataclass
 class _Known:
-    """A crash that this entry knows.
+    """A crash that this entry knows or suspects.
 
-    :param at: monotonic seconds.
-    :param shared: whether it came from the entries' exchange.
+    Points in time are monotonic seconds.
+
+    :param at: when the response was lost.
+    :param known_at: when this entry learned of it.
+    :param state_at: when ``state`` changed.
+    :param shared: whether the entries' exchange holds it.
     :param taken_back: whether the request has succeeded since.
     """
 
     crash: RequestCrash
     at: float
+    known_at: float
     shared: bool
+    state: ProcessState
+    state_at: float
     taken_back: bool = False
 
+    @property
+    def counts(self) -> bool:
+        """Whether it may have been a crash by this request."""
+        return not self.taken_back and self.state is not ProcessState.RUNNING
+
 
 class RequestCrashes:
     """The crashes known to one entry.
@@ -89,6 +125,8 @@
     def __init__(self, entry: str):
         self.entry = entry
         self._by_identity: dict[str, dict[str, _Known]] = {}
+        self._by_life: dict[str, dict[str, _Known]] = {}
+        self._open_lives: set[str] = set()
         # Number of identities by their first half.
         self._paths: collections.Counter[str] = collections.Counter()
         self._count = 0
@@ -98,13 +136,27 @@
         """Return the number of known crashes."""
         return self._count
 
+    @property
+    def has_open(self) -> bool:
+        """Whether a target is suspected that may still run."""
+        return bool(self._open_lives)
+
+    @property
+    def open_lives(self) -> list[str]:
+        """The processes of targets that are suspected and may still run."""
+        return list(self._open_lives)
+
+    def is_open(self, target_life: str) -> bool:
+        """Return whether a target is suspected that may still run."""
+        return target_life in self._open_lives
+
     def knows_path(self, path_half: str) -> bool:
         """Return whether a request with this half of an identity is known."""
         return path_half in self._paths
 
     def depth(self, identity: str) -> int:
         """Return the depth that is known for a request, 0 if none is."""
-        return max((c.depth for c in self._counted(identity)), default=0)
+        return max((k.crash.depth for k in self._counted(identity)), default=0)
 
     def add(
         self,
@@ -112,19 +164,16 @@
         now: float,
         age_s: float = 0.0,
         shared: bool = False,
+        state: ProcessState = ProcessState.ENDED,
     ) -> bool:
-        """Record a crash; return whether it was unknown.
+        """Record a crash or a suspicion; return whether it was unknown.
 
-        :param age_s: seconds since the crash.
+        :param age_s: seconds since the response was lost.
         :param shared: whether it came from the entries' exchange.
         """
         known = self._find(crash)
         if known is not None:
-            if shared:
-                # Several entries may have seen this crash. What the exchange
-                # holds is the same for all of them.
-                known.crash = crash
-                known.shared = True
+            self._update(known, crash, now, shared, state)
             return False
         if age_s >= MEMORY_S:
             return False
@@ -133,16 +182,117 @@
         lives = self._by_identity.setdefault(crash.identity, {})
         if not lives:
             self._paths[_path_half(crash.identity)] += 1
-        lives[crash.target_life] = _Known(crash, now - age_s, shared)
+        known = _Known(crash, now - age_s, now, shared, state, now)
+        lives[crash.target_life] = known
+        self._by_life.setdefault(crash.target_life, {})[crash.identity] = known
         self._count += 1
+        if state in OPEN_STATES:
+            self._open_lives.add(crash.target_life)
         return True
 
+    def _update(
+        self,
+        known: _Known,
+        crash: RequestCrash,
+        now: float,
+        shared: bool,
+        state: ProcessState,
+    ) -> None:
+        """Apply a further report of a known crash."""
+        seen_again = not shared or crash.entry != self.entry
+        if known.state is ProcessState.RUNNING and seen_again:
+            # Another response was lost there.
+            known.crash = crash
+            known.known_at = now
+            known.taken_back = False
+            self._set_state([known], state, now)
+        elif (
+            state is ProcessState.ENDED or known.state is ProcessState.UNKNOWN
+        ):
+            self._set_state([known], state, now)
+        if shared:
+            # Several entries may have seen this crash. What the exchange
+            # holds is the same for all of them.
+            known.crash = crash
+            known.shared = True
+
+    def missing(self, target_life: str, now: float) -> list[RequestCrash]:
+        """Record that a target does not answer.
+
+        :return: records to write for all entries.
+        """
+        changed = [
+            known
+            for known in self._of_life(target_life)
+            if known.state is ProcessState.UNKNOWN
+        ]
+        self._set_state(changed, ProcessState.MISSING, now)
+        return [known.crash for known in changed]
+
+    def running(
+        self, target_life: str, asked_at: float, now: float
+    ) -> list[RequestCrash]:
+        """Record that a target has answered.
+
+        :param asked_at: when it was asked.
+        :return: records of this entry to delete for all entries.
+        """
+        changed = [
+            known
+            for known in self._of_life(target_life)
+            if known.state in OPEN_STATES and known.known_at <= asked_at
+        ]
+        deleted = [
+            known.crash
+            for known in changed
+            if known.state is ProcessState.MISSING
+            and known.crash.entry == self.entry
+        ]
+        self._set_state(changed, ProcessState.RUNNING, now)
+        for known in changed:
+            known.shared = False
+        return deleted
+
+    def ended(self, target_life: str, now: float) -> list[RequestCrash]:
+        """Record that a target is known to have ended.
+
+        Also counts if it has seemed to run only a short time ago.
+
+        :return: records to write for all entries.
+        """
+        changed = [
+            known
+            for known in self._of_life(target_life)
+            if known.state in OPEN_STATES
+            or known.state is ProcessState.RUNNING
+            and now - known.state_at <= RESTART_NOTICE_S
+        ]
+        self._set_state(changed, ProcessState.ENDED, now)
+        return [known.crash for known in changed]
+
     def remove(self, identity: str, target_life: str) -> None:
         """Drop a record that another entry has deleted."""
         lives = self._by_identity.get(identity, {})
-        if lives.pop(target_life, None) is None:
+        known = lives.get(target_life)
+        if known is None:
+            return
+        if known.state is ProcessState.RUNNING:
+            # The deletion follows from that, see RESTART_NOTICE_S.
+            known.shared = False
             return
+        self._drop(known)
+
+    def _drop(self, known: _Known) -> None:
+        identity, target_life = known.crash.key
+        lives = self._by_identity[identity]
+        del lives[target_life]
         self._count -= 1
+        identities = self._by_life[target_life]
+        del identities[identity]
+        if not identities:
+            del self._by_life[target_life]
+        if known.state in OPEN_STATES:
+            self._update_open(target_life)
         if not lives:
             del self._by_identity[identity]
             self._trials_end_at.pop(identity, None)
@@ -152,18 +302,20 @@
                 del self._paths[half]
 
     def replace(
-        self, listed: list[tuple[RequestCrash, float]], now: float
+        self,
+        listed: list[tuple[RequestCrash, float, ProcessState]],
+        now: float,
     ) -> None:
         """Apply a complete list of the records in the entries' exchange.
 
-        :param listed: each crash with its age in seconds.
+        :param listed: each crash with its age in seconds and its state.
         """
-        keys = {crash.key for crash, _ in listed}
+        keys = {crash.key for crash, *_ in listed}
         for known in self._all():
             if known.shared and known.crash.key not in keys:
                 self.remove(*known.crash.key)
-        for crash, age_s in listed:
-            self.add(crash, now, age_s, shared=True)
+        for crash, age_s, state in listed:
+            self.add(crash, now, age_s, True, state)
 
     def is_refused(self, identity: str) -> bool:
         """Return whether a request may be sent as a trial only."""
@@ -177,23 +329,25 @@
 
         :return: None if it may, else seconds until a trial may follow.
         """
-        crashes = self._counted(identity)
-        if not _is_refused(crashes):
+        counted = self._counted(identity)
+        if not _is_refused(counted):
             return None
         # All entries that know the same crashes agree on the last one.
-        last = max(crashes, key=lambda c: (c.depth, c.target_life))
-        at = self._by_identity[identity][last.target_life].at
-        extra = len(crashes) - REFUSED_CRASHES
-        trial_at = at + TRIAL_DELAY_S * TRIAL_DELAY_FACTOR**extra
-        if len(crashes) >= MAX_TRIAL_CRASHES:
-            return max(MIN_RETRY_AFTER_S, at + MEMORY_S - now)
+        last = max(counted, key=lambda k: (k.crash.depth, *k.crash.key))
+        extra = len(counted) - REFUSED_CRASHES
+        trial_at = last.at + TRIAL_DELAY_S * TRIAL_DELAY_FACTOR**extra
+        if len(counted) >= MAX_TRIAL_CRASHES:
+            return max(MIN_RETRY_AFTER_S, last.at + MEMORY_S - now)
         if (
-            last.entry == self.entry
+            last.crash.entry == self.entry
             and now >= trial_at
             and now >= self._trials_end_at.get(identity, now)
         ):
             self._trials_end_at[identity] = now + TRIAL_TIMEOUT_S
             return None
+        if any(known.state is ProcessState.MISSING for known in counted):
+            # It is accepted again as soon as enough of them have answered.
+            return MIN_RETRY_AFTER_S
         return max(MIN_RETRY_AFTER_S, trial_at - now)
 
     def succeeded(self, identity: str) -> list[RequestCrash]:
@@ -202,11 +356,10 @@
         :return: records to delete for all entries, because a trial of the
             refused request has succeeded.
         """
-        crashes = self._counted(identity)
-        if _is_refused(crashes):
+        if self.is_refused(identity):
             known = list(self._by_identity[identity].values())
             for item in known:
-                self.remove(*item.crash.key)
+                self._drop(item)
             return [item.crash for item in known]
         depth = self.depth(identity)
         for item in self._by_identity.get(identity, {}).values():
@@ -215,12 +368,20 @@
 
     def expire(self, now: float) -> list[RequestCrash]:
         """Drop and return the records that are too old."""
+        running = [
+            known
+            for known in self._all()
+            if known.state is ProcessState.RUNNING
+            and now - known.state_at > RESTART_NOTICE_S
+        ]
+        for known in running:
+            self._drop(known)
         expired = [
-            known.crash for known in self._all() if now - known.at >= MEMORY_S
+            known for known in self._all() if now - known.at >= MEMORY_S
         ]
-        for crash in expired:
-            self.remove(*crash.key)
-        return expired
+        for known in expired:
+            self._drop(known)
+        return [known.crash for known in expired]
 
     def _find(self, crash: RequestCrash) -> _Known | None:
         lives = self._by_identity.get(crash.identity, {})
@@ -233,12 +394,30 @@
             for known in lives.values()
         ]
 
-    def _counted(self, identity: str) -> list[RequestCrash]:
-        """Return the crashes of a request that no success has taken back."""
+    def _of_life(self, target_life: str) -> list[_Known]:
+        return list(self._by_life.get(target_life, {}).values())
+
+    def _set_state(
+        self, changed: list[_Known], state: ProcessState, now: float
+    ) -> None:
+        for known in changed:
+            known.state = state
+            known.state_at = now
+        for target_life in {known.crash.target_life for known in changed}:
+            self._update_open(target_life)
+
+    def _update_open(self, target_life: str) -> None:
+        if any(k.state in OPEN_STATES for k in self._of_life(target_life)):
+            self._open_lives.add(target_life)
+        else:
+            self._open_lives.discard(target_life)
+
+    def _counted(self, identity: str) -> list[_Known]:
+        """Return the crashes of a request that count against it."""
         return [
-            known.crash
+            known
             for known in self._by_identity.get(identity, {}).values()
-            if not known.taken_back
+            if known.counts
         ]
 
     def _drop_least(self) -> None:
@@ -247,10 +426,16 @@
             self._all(), key=lambda known: (known.crash.depth, known.at)
         )
         for known in ordered[: 1 + self._count // DROPPED_FRACTION]:
-            self.remove(*known.crash.key)
+            self._drop(known)
 
 
-def _is_refused(crashes: list[RequestCrash]) -> bool:
+def _is_refused(counted: list[_Known]) -> bool:
+    # A target that is only being asked mostly answers within milliseconds.
+    crashes = [
+        known.crash
+        for known in counted
+        if known.state is not ProcessState.UNKNOWN
+    ]
     return len(crashes) >= REFUSED_CRASHES and any(
         crash.depth >= REFUSED_DEPTH for crash in crashes
     )
--- a/packages/core/tests/test_directory.py
+++ b/packages/core/tests/test_directory.py
@@ -60,6 +60,20 @@
         assert not known.register(_registered(sequence=11), 1.0)
 
 
+class TestRestart:
+    def test_newer_process_under_the_id_ends_the_known_one(self):
+        """Guards against an end that only the registration shows."""
+        known = directory.Directory()
+        restarts = []
+        known.on_restart = lambda *restart: restarts.append(restart)
+        known.register(BASE, 0.0)
+        known.register(_registered(sequence=11), 1.0)
+        assert restarts == []
+        known.remove('t1', 2.0)
+        known.register(_registered(started_at_ms=2_000, sequence=1), 3.0)
+        assert restarts == [('t1', 1_000)]
+
+
 class TestRemove:
     def test_new_record_cancels_a_removal_after_an_outage(self):
         # Guards against the loss of all targets after a registry outage.
--- a/packages/core/tests/test_request_crashes.py
+++ b/packages/core/tests/test_request_crashes.py
@@ -9,6 +9,7 @@
 from dragonflyslip_core import request_identity
 
 KILLER = request_identity.identity('a' * 16, b'')
+State = request_crashes.ProcessState
 OTHER = request_identity.identity('a' * 16, b'other')
 
 
@@ -117,7 +118,9 @@
     def test_record_that_comes_again_stays_taken_back(self, fleet):
         crash = fleet.crash(0, 0.0)
         fleet.tables[1].succeeded(KILLER)
-        fleet.tables[1].replace([(crash, 5.0)], 5.0)
+        fleet.tables[1].replace(
+            [(crash, 5.0, request_crashes.ProcessState.ENDED)], 5.0
+        )
         assert fleet.tables[1].depth(KILLER) == 0
 
 
@@ -195,3 +198,122 @@
             )
         assert len(fleet.tables[0]) <= 5
         assert fleet.tables[0].depth(KILLER) == 3
+
+
+class TestStates:
+    """One entry that suspects targets of which nothing is known yet."""
+
+    @pytest.fixture
+    def table(self):
+        return request_crashes.RequestCrashes('entry-0')
+
+    def suspect(self, table, life, now, depth=None):
+        if depth is None:
+            depth = table.depth(KILLER) + 1
+        crash = request_crashes.RequestCrash(KILLER, life, depth, 'entry-0')
+        table.add(crash, now, state=State.UNKNOWN)
+        return crash
+
+    def suspect_three(self, table):
+        for number in range(3):
+            self.suspect(table, f'life-{number}', float(number))
+
+    def test_unknown_targets_make_a_chain_but_refuse_nothing(self, table):
+        """Guards against a refusal before a target had time to answer."""
+        self.suspect_three(table)
+        assert table.depth(KILLER) == 3
+        assert table.admit(KILLER, 3.0) is None
+
+    @pytest.mark.parametrize('method', ['missing', 'ended'])
+    def test_missing_and_ended_targets_refuse_the_request(self, table, method):
+        """Guards against silence that counts as proof of life."""
+        self.suspect_three(table)
+        for number in range(3):
+            written = getattr(table, method)(f'life-{number}', 3.0)
+            assert [crash.depth for crash in written] == [number + 1]
+        assert table.admit(KILLER, 4.0) is not None
+
+    def test_target_that_answers_does_not_count(self, table):
+        """Guards against a refusal after a network that was cut."""
+        self.suspect_three(table)
+        for number in range(3):
+            table.missing(f'life-{number}', 3.0)
+        deleted = table.running('life-1', 4.0, 4.0)
+        assert [crash.target_life for crash in deleted] == ['life-1']
+        assert table.admit(KILLER, 4.0) is None
+        assert not table.is_open('life-1')
+        assert table.is_open('life-0')
+
+    def test_answer_to_an_earlier_question_proves_nothing(self, table):
+        self.suspect(table, 'life', 5.0)
+        assert table.running('life', 4.9, 5.1) == []
+        assert table.depth(KILLER) == 1
+
+    def test_proven_end_stays(self, table):
+        """Guards against a new process that answers under the same id."""
+        self.suspect(table, 'life', 0.0)
+        table.ended('life', 0.1)
+        table.running('life', 1.0, 1.0)
+        assert table.depth(KILLER) == 1
+
+    @pytest.mark.parametrize(
+        ('delay_s', 'depth'),
+        [
+            (request_crashes.RESTART_NOTICE_S, 1),
+            (request_crashes.RESTART_NOTICE_S + 0.1, 0),
+        ],
+    )
+    def test_restart_shows_that_an_answer_came_from_a_new_process(
+        self, table, delay_s, depth
+    ):
+        crash = self.suspect(table, 'life', 0.0)
+        table.running('life', 0.5, 0.5)
+        assert table.depth(KILLER) == 0
+        written = table.ended('life', 0.5 + delay_s)
+        assert written == [crash] * depth
+        assert table.depth(KILLER) == depth
+
+    def test_deletion_does_not_hide_a_later_proof(self, table):
+        """Guards against the echo of an entry's own deletion."""
+        crash = self.suspect(table, 'life', 0.0)
+        table.missing('life', 0.1)
+        table.add(crash, 0.2, shared=True, state=State.MISSING)
+        table.running('life', 0.3, 0.3)
+        table.remove(*crash.key)
+        assert table.ended('life', 1.0) == [crash]
+
+    def test_echo_of_a_record_does_not_suspect_again(self, table):
+        crash = self.suspect(table, 'life', 0.0)
+        table.missing('life', 0.1)
+        table.running('life', 0.2, 0.2)
+        table.add(crash, 0.3, shared=True, state=State.MISSING)
+        assert table.depth(KILLER) == 0
+
+    def test_second_loss_at_a_target_suspects_it_again(self, table):
+        """Guards against an answer that clears what happens after it."""
+        self.suspect(table, 'life', 0.0)
+        table.running('life', 0.5, 0.5)
+        self.suspect(table, 'life', 1.0)
+        assert table.depth(KILLER) == 1
+        assert table.running('life', 0.9, 1.1) == []
+
+    def test_answered_targets_are_forgotten(self, table):
+        self.suspect(table, 'life', 0.0)
+        table.running('life', 0.5, 0.5)
+        later = 0.6 + request_crashes.RESTART_NOTICE_S
+        assert table.expire(later) == []
+        assert len(table) == 0
+        assert not table.has_open
+
+    def test_missing_targets_do_not_keep_callers_away_for_long(self, table):
+        self.suspect_three(table)
+        for number in range(3):
+            table.missing(f'life-{number}', 3.0)
+        assert table.admit(KILLER, 3.0) == request_crashes.MIN_RETRY_AFTER_S
+
+    def test_other_entries_keep_their_records(self, table):
+        """Guards against a deletion by each entry that hears the target."""
+        crash = request_crashes.RequestCrash(KILLER, 'life', 1, 'entry-1')
+        table.add(crash, 0.0, shared=True, state=State.MISSING)
+        assert table.running('life', 1.0, 1.0) == []
+        assert table.depth(KILLER) == 0
--- a/packages/entry/src/dragonflyslip_entry/gateway/calls.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/calls.py
@@ -40,6 +40,8 @@
     :param stop_at: when the gateway's stop ends the request; infinite unless
         it is stopping.
     :param streaming: whether the response is sent while it arrives.
+    :param answered: whether a target has responded without a server error.
+    :param crash_depth: depth of the crashes that were known when it was sent.
     :param is_crash_trial: whether it may be sent although it was in flight at
         several crashes.
     """
@@ -61,6 +63,8 @@
     reason: str = ''
     stop_at: float = math.inf
     streaming: bool = False
+    answered: bool = False
+    crash_depth: int = 0
     is_crash_trial: bool = False
 
     @functools.cached_property
--- a/packages/entry/src/dragonflyslip_entry/gateway/crash_reports.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/crash_reports.py
@@ -1,62 +1,33 @@
 """Finds out which requests crash targets, and refuses them.
 
-The gateways exchange the crashes as records of the feed in which they also
-register. A record's key holds the identity of the request and a digest of the
-target's process.
+A lost response makes its request suspected until the target has answered, and
+is a crash if the target is known to have ended. The gateways exchange both as
+records of the feed in which they also register.
 """
 
 import asyncio
 import collections.abc
-import random
-import typing
 
 import msgspec
-from returns import result
 
 from dragonflyslip_core import directory
 from dragonflyslip_core import feeds
 from dragonflyslip_core import request_crashes
-from dragonflyslip_core import request_identity
-from dragonflyslip_entry import flag_settings
 from dragonflyslip_entry.gateway import adapters
 from dragonflyslip_entry.gateway import board as board_types
 from dragonflyslip_entry.gateway import calls
+from dragonflyslip_entry.gateway import crash_records
 from dragonflyslip_entry.gateway import probing
-from dragonflyslip_entry import http_connection
+from dragonflyslip_entry.gateway import target_inquiries
 from dragonflyslip_entry import logs
 
-# Begins the keys of crashes; names of gateways do not contain a slash.
-KEY_PREFIX = 'crash/'
-# A target whose connection was lost is asked so often whether it still runs.
-CONFIRM_ATTEMPTS = 3
-CONFIRM_PAUSE_S = 0.1
 # A request may be sent to another target after this time, although it is not
 # known yet whether the first one has crashed.
 CONFIRM_WAIT_S = 0.05
-WRITE_RETRY_MIN_S = 0.2
-WRITE_RETRY_MAX_S = 0.8
-# Bounds the writes to the store when many targets fail at once.
-MAX_PENDING_WRITES = 32
-# Length of the digest of a target's process; its id may be longer than a key.
-TARGET_DIGEST_BYTES = 8
+# Time to write records before the process ends.
+CLOSE_TIMEOUT_S = 0.1
 
-
-class CrashRecord(msgspec.Struct, frozen=True):
-    """The value of a crash's record.
-
-    :param depth: as in :class:`request_crashes.RequestCrash`.
-    :param entry: name of the gateway that wrote it.
-    :param at_ms: Unix time of the crash in milliseconds.
-    """
-
-    depth: typing.Annotated[int, msgspec.Meta(ge=1, le=1_000)]
-    entry: flag_settings.Name
-    at_ms: typing.Annotated[int, msgspec.Meta(ge=0, le=2**53)]
-
-
-_decode = msgspec.json.Decoder(
-    CrashRecord, dec_hook=flag_settings.decode_hook
-).decode
+ProcessState = request_crashes.ProcessState
 
 
 class CrashReporter:
@@ -76,13 +47,19 @@
     ):
         self.board = board
         self.crashes = board.request_crashes
-        self.prober = prober
-        self.log = log
-        self.feed = feed
         self.unix_time = unix_time
         self.loop = asyncio.get_running_loop()
-        self._confirming: set[asyncio.Task[None]] = set()
-        self._writing: set[asyncio.Task[None]] = set()
+        self.writer = crash_records.CrashRecordWriter(
+            log, feed, lambda: board.count('crash_records_dropped')
+        )
+        self.inquiries = target_inquiries.TargetInquiries(
+            prober,
+            board.directory,
+            lambda target: self.crashes.is_open(_life_of(target)),
+            self._record_result,
+        )
+        prober.on_answer = self._record_answer
+        board.directory.on_restart = self._record_restart
         # Records that were too old already when they were read.
         self._outdated: list[request_crashes.RequestCrash] = []
 
@@ -144,20 +121,43 @@
         call: calls.Call,
         body: calls.RequestBody | None,
         target: directory.Registration,
-        depth: int,
     ) -> None:
-        """Record a crash if the target has crashed.
-
-        Returns early if that takes long, and goes on in the background.
+        """Suspect a crash, and wait for a short time for the target's answer.
 
-        :param depth: result of :meth:`depth` before the request was sent.
+        The target is asked on in the background.
         """
-        task = self.loop.create_task(
-            self._confirm(call, body, target, depth + 1)
+        self._add_suspicion(call, body, target)
+        await self.inquiries.first_result(
+            target, call.service.health_path, CONFIRM_WAIT_S
         )
-        self._confirming.add(task)
-        task.add_done_callback(self._confirming.discard)
-        await asyncio.wait([task], timeout=CONFIRM_WAIT_S)
+
+    def suspect(
+        self,
+        call: calls.Call,
+        body: calls.RequestBody | None,
+        target: directory.Registration,
+    ) -> None:
+        """Suspect a crash of a target that did not respond to a request."""
+        self._add_suspicion(call, body, target)
+        self.inquiries.begin(target, call.service.health_path)
+
+    def _add_suspicion(
+        self,
+        call: calls.Call,
+        body: calls.RequestBody | None,
+        target: directory.Registration,
+    ) -> None:
+        identity = calls.identity_of(call, body)
+        if identity is not None:
+            crash = request_crashes.RequestCrash(
+                identity,
+                _life_of(target),
+                call.crash_depth + 1,
+                self.crashes.entry,
+            )
+            self.crashes.add(
+                crash, self.loop.time(), state=ProcessState.UNKNOWN
+            )
 
     def succeeded(
         self, call: calls.Call, body: calls.RequestBody | None
@@ -169,14 +169,14 @@
         if identity is None:
             return
         for crash in self.crashes.succeeded(identity):
-            self._write(crash, None)
+            self.writer.put(crash, None)
 
     def apply(self, page: feeds.FeedPage) -> None:
         """Apply the records of the feed that are crashes."""
         crashes = [
             record
             for record in page.records
-            if record.key.startswith(KEY_PREFIX)
+            if record.key.startswith(crash_records.KEY_PREFIX)
         ]
         if page.complete:
             listed = [self._decode(record) for record in crashes]
@@ -197,106 +197,106 @@
         self._outdated = []
         if deletes:
             for crash in expired:
-                self._write(crash, None)
+                self.writer.put(crash, None)
 
     async def close(self) -> None:
-        """Cancel what is still being confirmed or written."""
-        tasks = [*self._confirming, *self._writing]
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
-
-    async def _confirm(
+        """Write what is still suspected or not written yet, and stop."""
+        await self.inquiries.close()
+        now = self.loop.time()
+        for target_life in self.crashes.open_lives:
+            self._write(self.crashes.missing(target_life, now), False)
+        await self.writer.close(CLOSE_TIMEOUT_S)
+
+    def _record_result(
         self,
-        call: calls.Call,
-        body: calls.RequestBody | None,
         target: directory.Registration,
-        depth: int,
+        state: ProcessState,
+        asked_at: float,
     ) -> None:
-        if not await self._has_crashed(target, call.service.health_path):
-            return
-        identity = calls.identity_of(call, body)
-        logs.request(
-            'target has crashed',
-            request=call.request_id,
-            target=target.target_id,
-            identity=identity,
-            depth=depth,
-        )
-        self.board.count('target_crashes')
-        if identity is None:
+        """Record the result of an inquiry."""
+        life = _life_of(target)
+        match state:
+            case ProcessState.ENDED:
+                self._record_end(target.target_id, life)
+            case ProcessState.MISSING:
+                missing = self.crashes.missing(life, self.loop.time())
+                for crash in missing:
+                    logs.request(
+                        'target does not answer',
+                        target=target.target_id,
+                        identity=crash.identity,
+                        depth=crash.depth,
+                    )
+                self._write(missing, False)
+            case ProcessState.RUNNING:
+                self._record_answer(target, asked_at)
+
+    def _record_answer(
+        self, target: directory.Registration, asked_at: float
+    ) -> None:
+        """Record that a target has answered, also to a probe."""
+        if not self.crashes.has_open:
             return
-        crash = request_crashes.RequestCrash(
-            identity, _life_of(target), depth, self.crashes.entry
-        )
-        if self.crashes.add(crash, self.loop.time()):
-            record = CrashRecord(
-                depth=depth,
-                entry=str(crash.entry),
-                at_ms=int(self.unix_time() * 1000),
+        life = _life_of(target)
+        if self.crashes.is_open(life):
+            now = self.loop.time()
+            for crash in self.crashes.running(life, asked_at, now):
+                self.writer.put(crash, None)
+
+    def _record_restart(self, target_id: str, started_at_ms: int) -> None:
+        """Record that a newer process has registered under a target's id."""
+        if len(self.crashes):
+            life = crash_records.target_life(target_id, started_at_ms)
+            self._record_end(target_id, life)
+
+    def _record_end(self, target_id: str, life: str) -> None:
+        crashes = self.crashes.ended(life, self.loop.time())
+        for crash in crashes:
+            logs.request(
+                'target has crashed',
+                target=target_id,
+                identity=crash.identity,
+                depth=crash.depth,
             )
-            self._write(crash, msgspec.json.encode(record))
-
-    async def _has_crashed(
-        self, target: directory.Registration, path: str
-    ) -> bool:
-        """Return whether the process of a target has ended.
-
-        A lost connection alone does not show it.
-        """
-        for _ in range(CONFIRM_ATTEMPTS):
-            try:
-                target_id = await self.prober.identify(target, path)
-            except ConnectionRefusedError:
-                return True
-            except http_connection.CONNECTION_ERRORS:
-                await asyncio.sleep(CONFIRM_PAUSE_S)
-                continue
-            return target_id not in (None, target.target_id)
-        return False
+            self.board.count('target_crashes')
+        self._write(crashes, True)
 
     def _write(
-        self, crash: request_crashes.RequestCrash, value: bytes | None
+        self, crashes: list[request_crashes.RequestCrash], ended: bool
     ) -> None:
-        if len(self._writing) >= MAX_PENDING_WRITES:
-            self.board.count('crash_records_dropped')
-            return
-        task = self.loop.create_task(self._append(crash, value))
-        self._writing.add(task)
-        task.add_done_callback(self._writing.discard)
-
-    async def _append(
-        self, crash: request_crashes.RequestCrash, value: bytes | None
-    ) -> None:
-        """Write a record; try again until the store accepts it."""
-        while True:
-            outcome = await self.log.append(
-                self.feed, KEY_PREFIX + '/'.join(crash.key), value
-            )
-            if isinstance(outcome, result.Success):
-                return
-            await asyncio.sleep(
-                random.uniform(WRITE_RETRY_MIN_S, WRITE_RETRY_MAX_S)
+        """Write records of crashes that this gateway has seen."""
+        for crash in crashes:
+            if crash.entry != self.crashes.entry:
+                continue
+            record = crash_records.CrashRecord(
+                depth=crash.depth,
+                entry=str(crash.entry),
+                at_ms=int(self.unix_time() * 1000),
+                ended=ended,
             )
+            self.writer.put(crash, msgspec.json.encode(record))
 
     def _apply_change(self, record: feeds.FeedRecord) -> None:
         if record.value is None:
-            self.crashes.remove(*_parse_key(record.key))
+            self.crashes.remove(*crash_records.parse_key(record.key))
             return
         decoded = self._decode(record)
         if decoded is not None:
-            crash, age_s = decoded
-            self.crashes.add(crash, self.loop.time(), age_s, shared=True)
+            crash, age_s, state = decoded
+            self.crashes.add(crash, self.loop.time(), age_s, True, state)
 
     def _decode(
         self, record: feeds.FeedRecord
-    ) -> tuple[request_crashes.RequestCrash, float] | None:
-        """Return a crash and its age in seconds, None if it is malformed."""
+    ) -> tuple[request_crashes.RequestCrash, float, ProcessState] | None:
+        """Return a crash, its age in seconds and its state.
+
+        None if it is malformed.
+        """
         if record.value is None:
             return None
-        identity, life = _parse_key(record.key)
+        identity, life = crash_records.parse_key(record.key)
         try:
-            value = _decode(record.value)
+            value = crash_records.decode(record.value)
         except (msgspec.DecodeError, RecursionError) as error:
             self.board.count('skipped_records')
             logs.info('record skipped', key=record.key, reason=str(error))
@@ -307,15 +307,8 @@
         age_s = max(0.0, self.unix_time() - value.at_ms / 1000)
         if age_s >= request_crashes.MEMORY_S:
             self._outdated.append(crash)
-        return crash, age_s
-
-
-def _parse_key(key: str) -> tuple[str, str]:
-    """Return the identity and the digest of the target's process."""
-    identity, _, life = key.removeprefix(KEY_PREFIX).partition('/')
-    return identity, life
+        return crash, age_s, value.state
 
 
 def _life_of(target: directory.Registration) -> str:
-    fields = (target.target_id, str(target.started_at_ms))
-    return request_identity.digest(fields, TARGET_DIGEST_BYTES).hexdigest()
+    return crash_records.target_life(target.target_id, target.started_at_ms)
--- a/packages/entry/src/dragonflyslip_entry/gateway/feeds.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/feeds.py
@@ -18,6 +18,7 @@
 from dragonflyslip_entry import flag_settings
 from dragonflyslip_entry.gateway import adapters
 from dragonflyslip_entry.gateway import board as board_types
+from dragonflyslip_entry.gateway import crash_records
 from dragonflyslip_entry.gateway import crash_reports
 from dragonflyslip_entry.gateway import relay as relay_types
 from dragonflyslip_entry import logs
@@ -389,7 +390,7 @@
 
 
 def _is_gateway(record: feeds.FeedRecord) -> bool:
-    return not record.key.startswith(crash_reports.KEY_PREFIX)
+    return not record.key.startswith(crash_records.KEY_PREFIX)
 
 
 def _find_record(
--- a/packages/entry/src/dragonflyslip_entry/gateway/handling.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/handling.py
@@ -227,7 +227,9 @@
                     if isinstance(checked, error_responses.ErrorResponse):
                         self.sender.release(probed, False)
                         return checked
-                    return await self._stream(request, call, probed, checked)
+                    return await self._stream(
+                        request, call, probed, body, checked
+                    )
                 if not (
                     outcome.failed and self.repeater.may_repeat(call, body)
                 ):
@@ -359,6 +361,7 @@
         request: web.BaseRequest,
         call: calls.Call,
         probed: probing.ProbedTarget,
+        body: calls.RequestBody | None,
         answer: sending.Answered,
     ) -> web.StreamResponse:
         """Stream a response that is too large to be buffered."""
@@ -381,7 +384,7 @@
             await relayed.write_eof()
             whole = True
         finally:
-            self.sender.release(probed, whole)
+            self.sender.stream_ended(call, probed, body, answer, whole)
             if not whole and request.transport is not None:
                 # The part that the caller has received must not look complete.
                 request.transport.abort()
--- a/packages/entry/src/dragonflyslip_entry/gateway/probing.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/probing.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import collections.abc
 import dataclasses
 
 import multidict
@@ -80,6 +81,10 @@
         pools.on_overlong = self._record_overlong
         self.dialect = dialect
         self.loop = asyncio.get_running_loop()
+        # Called with a target that answered a probe and when it was asked.
+        self.on_answer: collections.abc.Callable[
+            [directory.Registration, float], None
+        ] = lambda target, asked_at: None
         self._late_probes: set[asyncio.Task[ProbedTarget | None]] = set()
 
     async def probe_all(
@@ -133,6 +138,7 @@
         pool = self.pools.get_or_create(target)
         kept = pool.take()
         probed = None
+        asked_at = self.loop.time()
         try:
             async with asyncio.timeout(PROBE_TIMEOUT_S):
                 if kept is not None:
@@ -145,6 +151,8 @@
         except http_connection.CONNECTION_ERRORS:
             self.board.count('asks_failed')
         self._record_probe(target, probed)
+        if probed is not None:
+            self.on_answer(target, asked_at)
         return probed
 
     def _record_probe(
--- a/packages/entry/src/dragonflyslip_entry/gateway/repeating.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/repeating.py
@@ -139,7 +139,9 @@
             # A hedge would only lengthen the queue of a heavily loaded target.
             if other.expected_work > admission.HEDGE_MAX_WORK:
                 return
-            if not self.may_repeat(call, None):
+            if self.sender.crashes.is_known(call) or not self.may_repeat(
+                call, None
+            ):
                 return
             excluded.add(other.target.target_id)
             sends[
--- a/packages/entry/src/dragonflyslip_entry/gateway/sending.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/sending.py
@@ -97,7 +97,7 @@
         The connection is given back or closed, unless the response is
         incomplete: then the calling code must call :meth:`release`.
         """
-        depth = self.crashes.depth(call, body)
+        call.crash_depth = self.crashes.depth(call, body)
         standing = self.board.standing_of(probed.target.target_id)
         standing.unseen += 1
         outcome: SendOutcome | None = None
@@ -113,6 +113,11 @@
             )
         except _NotSent as error:
             outcome = NotRun(error.reason)
+        except asyncio.CancelledError:
+            # The caller has left, its time is over, or a hedge was faster.
+            if attempt.written and not call.answered:
+                self.crashes.suspect(call, body, probed.target)
+            raise
         finally:
             standing.unseen -= 1
             if not (isinstance(outcome, Answered) and not outcome.complete):
@@ -126,11 +131,31 @@
                 identity=calls.identity_of(call, body),
                 reason=outcome.reason,
             )
-            await self.crashes.response_lost(call, body, probed.target, depth)
-        elif isinstance(outcome, Answered) and outcome.succeeded:
-            self.crashes.succeeded(call, body)
+            await self.crashes.response_lost(call, body, probed.target)
+        elif isinstance(outcome, Answered):
+            call.answered |= not outcome.failed
+            if outcome.complete and outcome.succeeded:
+                self.crashes.succeeded(call, body)
         return outcome
 
+    def stream_ended(
+        self,
+        call: calls.Call,
+        probed: probing.ProbedTarget,
+        body: calls.RequestBody | None,
+        answer: Answered,
+        whole: bool,
+    ) -> None:
+        """Record the end of a response that was sent while it arrived.
+
+        The connection is given back, or closed unless ``whole``.
+        """
+        self.release(probed, whole)
+        if not whole:
+            self.crashes.suspect(call, body, probed.target)
+        elif answer.succeeded:
+            self.crashes.succeeded(call, body)
+
     def release(self, probed: probing.ProbedTarget, reusable: bool) -> None:
         """Give the connection back, or close it if it is not ``reusable``."""
         if reusable:
--- a/tests/fuzz_parsers.py
+++ b/tests/fuzz_parsers.py
@@ -24,7 +24,7 @@
 from dragonflyslip_core import feeds as feed_types
 from dragonflyslip_core import membership
 from dragonflyslip_entry import errors
-from dragonflyslip_entry.gateway import crash_reports
+from dragonflyslip_entry.gateway import crash_records
 from dragonflyslip_entry.gateway import feeds
 from dragonflyslip_entry.gateway import settings
 import dragonflyslip_wire as wire
@@ -187,7 +187,7 @@
         (msgspec.DecodeError, RecursionError),
     ),
     'crash': Parser(
-        crash_reports._decode,
+        crash_records.decode,
         (b'{"depth":1,"entry":"edge-1","at_ms":1500}',),
         (msgspec.DecodeError, RecursionError),
     ),
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -33,6 +33,7 @@
 _GATEWAY = f'{_ENTRY}/gateway'
 _ADAPTER = 'platform/src/dragonflyslip_adapter'
 _CRASH_TESTS = 'tests/adapter/test_crashing_requests.py'
+_END_TESTS = 'tests/adapter/test_ends_of_targets.py'
 _FAULT_TESTS = 'tests/adapter/test_gateway_faults.py'
 _TOPOLOGY_TESTS = 'tests/adapter/test_topology.py'
 _RELAY_TESTS = 'tests/adapter/test_relays.py'
@@ -500,11 +501,57 @@
     ),
     Mutation(
         'lost-connection-is-a-crash',
-        f'{_GATEWAY}/crash_reports.py',
-        'return target_id not in (None, target.target_id)',
-        'return True',
+        f'{_GATEWAY}/target_inquiries.py',
+        'if target_id == target.target_id:',
+        'if False:',
         f'{_CRASH_TESTS}::TestRequestsThatOthersCrash',
     ),
+    Mutation(
+        'silence-proves-life',
+        f'{_GATEWAY}/target_inquiries.py',
+        """        except http_connection.CONNECTION_ERRORS:
+            return ProcessState.MISSING""",
+        """        except http_connection.CONNECTION_ERRORS:
+            return ProcessState.RUNNING""",
+        f'{_END_TESTS}::TestEndsOfTargets',
+    ),
+    Mutation(
+        'answer-clears-nothing',
+        f'{_GATEWAY}/probing.py',
+        'self.on_answer(target, asked_at)',
+        'pass',
+        f'{_END_TESTS}::TestRequestsNearAnEnd',
+    ),
+    Mutation(
+        'restart-under-the-id-ignored',
+        f'{_CORE}/directory.py',
+        'self.on_restart(target_id, last[0])',
+        'pass',
+        f'{_END_TESTS}::TestEndsOfTargets',
+    ),
+    Mutation(
+        'caller-that-leaves-hides-a-crash',
+        f'{_GATEWAY}/sending.py',
+        'if attempt.written and not call.answered:',
+        'if False:',
+        f'{_END_TESTS}::TestEndsOfTargets',
+    ),
+    Mutation(
+        'stream-hides-a-crash',
+        f'{_GATEWAY}/sending.py',
+        """        if not whole:
+            self.crashes.suspect(call, body, probed.target)
+        elif""",
+        '        if',
+        f'{_END_TESTS}::TestEndsOfTargets',
+    ),
+    Mutation(
+        'crashes-not-checked-at-the-write',
+        f'{_GATEWAY}/sending.py',
+        'if self.crashes.is_refused(call, body):',
+        'if False:',
+        f'{_END_TESTS}::TestEndsOfTargets',
+    ),
     Mutation(
         'limit-held-by-all',
         f'{_CORE}/target_limits.py',
