--- a/packages/entry/src/dragonflyslip_entry/gateway/calls.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/calls.py
@@ -40,6 +40,10 @@
     :param stop_at: when the gateway's stop ends the request; infinite unless
         it is stopping.
     :param streaming: whether the response is sent while it arrives.
+    :param answered: whether a target has responded without a server error.
+    :param crash_depth: depth of the crashes that were known when it was sent.
+    :param is_crash_trial: whether it may be sent although it was in flight at
+        several crashes.
     """
 
     request_id: str
@@ -59,6 +63,9 @@
     reason: str = ''
     stop_at: float = math.inf
     streaming: bool = False
+    answered: bool = False
+    crash_depth: int = 0
+    is_crash_trial: bool = False
 
     @functools.cached_property
     def path_identity(self) -> str:
@@ -190,7 +197,8 @@
             raise errors.CallerBodyError(
                 f'request body ended early: {error!r}'
             ) from error
-        self.complete = not chunk
+        # Known at the last bytes already, so that they identify a short body.
+        self.complete = not chunk or self.request.content.at_eof()
         self._keep(chunk)
         return chunk
 
