Leave hedges to requests whose targets have answered

Each request that timed out or was left by its caller now suspects its target for some milliseconds, and its record is kept for 15 s after the answer. For that time its path was not hedged, and many such records could push out those of real crashes. An echo of a deletion could also drop a suspicion that was raised after it. Found by reading; the three new tests of the core fail on the code before.

--- a/packages/core/src/dragonflyslip_core/request_crashes.py
+++ b/packages/core/src/dragonflyslip_core/request_crashes.py
@@ -98,6 +98,8 @@
     :param state_at: when ``state`` changed.
     :param shared: whether the entries' exchange holds it.
     :param taken_back: whether the request has succeeded since.
+    :param deletion_expected: whether the exchange's record is being deleted
+        because the target has answered.
     """
 
     crash: RequestCrash
@@ -107,6 +109,7 @@
     state: ProcessState
     state_at: float
     taken_back: bool = False
+    deletion_expected: bool = False
 
     @property
     def counts(self) -> bool:
@@ -127,8 +130,10 @@
         self._by_identity: dict[str, dict[str, _Known]] = {}
         self._by_life: dict[str, dict[str, _Known]] = {}
         self._open_lives: set[str] = set()
-        # Number of identities by their first half.
-        self._paths: collections.Counter[str] = collections.Counter()
+        # Number of records by the first half of the identity and the state.
+        self._paths: collections.Counter[tuple[str, ProcessState]] = (
+            collections.Counter()
+        )
         self._count = 0
         self._trials_end_at: dict[str, float] = {}
 
@@ -151,8 +156,25 @@
         return target_life in self._open_lives
 
     def knows_path(self, path_half: str) -> bool:
-        """Return whether a request with this half of an identity is known."""
-        return path_half in self._paths
+        """Return whether a request with this half of an identity counts."""
+        return self.crashed_at(path_half) or self._has(
+            path_half, ProcessState.UNKNOWN
+        )
+
+    def crashed_at(self, path_half: str) -> bool:
+        """Return whether such a request was at a target that is not back."""
+        return self._has(path_half, ProcessState.MISSING) or self._has(
+            path_half, ProcessState.ENDED
+        )
+
+    def _has(self, path_half: str, state: ProcessState) -> bool:
+        return self._paths.get((path_half, state), 0) > 0
+
+    def _count_path(self, known: _Known, amount: int) -> None:
+        key = _path_half(known.crash.identity), known.state
+        self._paths[key] += amount
+        if not self._paths[key]:
+            del self._paths[key]
 
     def depth(self, identity: str) -> int:
         """Return the depth that is known for a request, 0 if none is."""
@@ -180,10 +202,9 @@
         if self._count >= MAX_CRASHES:
             self._drop_least()
         lives = self._by_identity.setdefault(crash.identity, {})
-        if not lives:
-            self._paths[_path_half(crash.identity)] += 1
         known = _Known(crash, now - age_s, now, shared, state, now)
         lives[crash.target_life] = known
+        self._count_path(known, 1)
         self._by_life.setdefault(crash.target_life, {})[crash.identity] = known
         self._count += 1
         if state in OPEN_STATES:
@@ -215,6 +236,8 @@
             # holds is the same for all of them.
             known.crash = crash
             known.shared = True
+            if known.state is not ProcessState.RUNNING:
+                known.deletion_expected = False
 
     def missing(self, target_life: str, now: float) -> list[RequestCrash]:
         """Record that a target does not answer.
@@ -248,9 +271,10 @@
             if known.state is ProcessState.MISSING
             and known.crash.entry == self.entry
         ]
-        self._set_state(changed, ProcessState.RUNNING, now)
         for known in changed:
+            known.deletion_expected |= known.state is ProcessState.MISSING
             known.shared = False
+        self._set_state(changed, ProcessState.RUNNING, now)
         return deleted
 
     def ended(self, target_life: str, now: float) -> list[RequestCrash]:
@@ -276,8 +300,10 @@
         known = lives.get(target_life)
         if known is None:
             return
-        if known.state is ProcessState.RUNNING:
-            # The deletion follows from that, see RESTART_NOTICE_S.
+        if known.deletion_expected:
+            # It follows from an answer, after which the target may have been
+            # suspected again, or its restart may become known.
+            known.deletion_expected = False
             known.shared = False
             return
         self._drop(known)
@@ -286,6 +312,7 @@
         identity, target_life = known.crash.key
         lives = self._by_identity[identity]
         del lives[target_life]
+        self._count_path(known, -1)
         self._count -= 1
         identities = self._by_life[target_life]
         del identities[identity]
@@ -296,10 +323,6 @@
         if not lives:
             del self._by_identity[identity]
             self._trials_end_at.pop(identity, None)
-            half = _path_half(identity)
-            self._paths[half] -= 1
-            if not self._paths[half]:
-                del self._paths[half]
 
     def replace(
         self,
@@ -401,8 +424,10 @@
         self, changed: list[_Known], state: ProcessState, now: float
     ) -> None:
         for known in changed:
+            self._count_path(known, -1)
             known.state = state
             known.state_at = now
+            self._count_path(known, 1)
         for target_life in {known.crash.target_life for known in changed}:
             self._update_open(target_life)
 
@@ -421,9 +446,18 @@
         ]
 
     def _drop_least(self) -> None:
-        """Drop the oldest records of the lowest depth, several at once."""
+        """Drop several records.
+
+        Those of targets that have answered go first, then the oldest ones of
+        the lowest depth.
+        """
         ordered = sorted(
-            self._all(), key=lambda known: (known.crash.depth, known.at)
+            self._all(),
+            key=lambda known: (
+                known.state is not ProcessState.RUNNING,
+                known.crash.depth,
+                known.at,
+            ),
         )
         for known in ordered[: 1 + self._count // DROPPED_FRACTION]:
             self._drop(known)
--- a/packages/core/tests/test_request_crashes.py
+++ b/packages/core/tests/test_request_crashes.py
@@ -317,3 +317,36 @@
         table.add(crash, 0.0, shared=True, state=State.MISSING)
         assert table.running('life', 1.0, 1.0) == []
         assert table.depth(KILLER) == 0
+
+    def test_answered_target_leaves_its_path_to_hedges(self, table):
+        """Guards against hedges that one slow response switches off."""
+        half = KILLER[: request_identity.HALF_LENGTH]
+        self.suspect(table, 'life', 0.0)
+        assert table.knows_path(half)
+        assert not table.crashed_at(half)
+        table.missing('life', 0.1)
+        assert table.crashed_at(half)
+        table.running('life', 0.5, 0.5)
+        assert not table.knows_path(half)
+
+    def test_echo_of_a_deletion_keeps_a_later_suspicion(self, table):
+        crash = self.suspect(table, 'life', 0.0)
+        table.missing('life', 0.1)
+        table.add(crash, 0.2, shared=True, state=State.MISSING)
+        table.running('life', 0.3, 0.3)
+        self.suspect(table, 'life', 0.4)
+        table.remove(*crash.key)
+        assert table.depth(KILLER) == 1
+
+    def test_answered_targets_are_dropped_first(self, table, monkeypatch):
+        """Guards against slow responses that push out records of crashes."""
+        monkeypatch.setattr(request_crashes, 'MAX_CRASHES', 8)
+        self.suspect(table, 'life', 0.0)
+        table.ended('life', 0.0)
+        for number in range(20):
+            crash = request_crashes.RequestCrash(
+                OTHER, f'slow-{number}', 2, 'entry-0'
+            )
+            table.add(crash, 1.0, state=State.UNKNOWN)
+            table.running(f'slow-{number}', 1.0, 1.0)
+        assert table.depth(KILLER) == 1
--- a/packages/entry/src/dragonflyslip_entry/gateway/crash_reports.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/crash_reports.py
@@ -92,11 +92,17 @@
         return wait_s
 
     def is_known(self, call: calls.Call) -> bool:
-        """Return whether a request with the same path was at a crash."""
+        """Return whether a request with the same path is suspected."""
         return len(self.crashes) > 0 and self.crashes.knows_path(
             call.path_identity
         )
 
+    def has_crashed(self, call: calls.Call) -> bool:
+        """Return whether such a request was at a target that is not back."""
+        return len(self.crashes) > 0 and self.crashes.crashed_at(
+            call.path_identity
+        )
+
     def depth(self, call: calls.Call, body: calls.RequestBody | None) -> int:
         """Return the depth of the known crashes before a request is sent."""
         if not self.is_known(call):
