Test bytes without end at three more places

Operators reported a target whose bytes without end, in a head or in a body, filled the memory of the machine that had called it. Requests, health responses, refusals, responses to other requests, idle connections, the store and incoming links between gateways had tests. Not tried were a response that begins while its caller still uploads, the answer of a target that is asked after it has lost a response, and what a gateway reads from a provider.

--- a/tests/adapter/test_endless_responses.py
+++ b/tests/adapter/test_endless_responses.py
@@ -6,6 +6,7 @@
 import pytest
 
 import dragonflyslip_emulator as emulator
+from tests.adapter import callers
 
 Part = emulator.EndlessPart
 
@@ -163,6 +164,56 @@
         assert sent <= MAX_ACCEPTED_BYTES
 
 
+class TestUploads:
+    @pytest.mark.parametrize(
+        'part',
+        [
+            Part.NO_RESPONSE,
+            Part.HEADER_LINE,
+            Part.HEADERS,
+            Part.INTERIM,
+            Part.CHUNK_EXTENSION,
+            Part.FOREIGN,
+            Part.FOREIGN_SERIES,
+        ],
+    )
+    async def test_endless_response_ends_an_unfinished_upload(
+        self, platform, part
+    ):
+        """Guards against bytes that are read as long as a caller sends."""
+        first = await _start(platform)
+        first.endless_before_body = True
+        first.faults.append(part)
+        caller = await callers.KeptConnection.open(platform.port)
+        caller.send(
+            b'POST /unsafe/1 HTTP/1.1\r\nHost: app.example\r\n'
+            b'X-Request-Id: upload-1\r\nX-Deadline-Ms: 4000\r\n'
+            b'Content-Length: 1000000\r\n\r\n' + bytes(10_000)
+        )
+        sent = await _sent_until_closed(platform, first)
+        assert sent <= MAX_ACCEPTED_BYTES
+        assert (await platform.call('/unsafe/2', 'POST')).status == 200
+        assert (await caller.receive()).status == 502
+
+
+class TestInquiries:
+    @pytest.mark.parametrize('part', HEALTH_PARTS)
+    async def test_endless_answer_after_a_lost_response_is_not_read_whole(
+        self, platform, part
+    ):
+        """Guards against a question whose answer does not end."""
+        target = await platform.add_target(work_s=0.2)
+        await platform.publish()
+        await platform.start()
+        target.faults.append(emulator.Fault.RESET)
+        call = asyncio.create_task(platform.call('/unsafe/1', 'POST'))
+        await platform.until(lambda: target.runs)
+        target.health_fault = part
+        assert (await call).status == 502
+        sent = await _sent_until_closed(platform, target)
+        assert sent <= MAX_ACCEPTED_BYTES
+
+
 class TestIdleConnections:
     @pytest.mark.parametrize('part', [Part.IDLE, Part.IDLE_SERIES])
     async def test_bytes_on_an_idle_connection_close_it(self, platform, part):
--- a/tests/adapter/test_relays.py
+++ b/tests/adapter/test_relays.py
@@ -191,6 +191,36 @@
         assert gateways[0].board.counters['peer_bad_frames'] == 1
         writer.close()
 
+    @pytest.mark.parametrize('block', [b'x' * 16_384, bytes(16_384)])
+    async def test_bytes_from_the_address_of_a_provider_close_the_link(
+        self, platform, block
+    ):
+        """Guards against bytes of another process at a provider's address."""
+        sent: list[int] = []
+
+        async def serve(reader, writer):
+            content = endless.EndlessBytes(b'', block)
+            sent.append(await endless.send(writer, content))
+            writer.close()
+
+        server = await asyncio.start_server(serve, '127.0.0.1', 0)
+        port = server.sockets[0].getsockname()[1]
+        await platform.store.put(
+            ENTRIES_TOPIC,
+            'gateway-0',
+            {
+                'incarnation': 1,
+                'failure_domain': 'zone-a',
+                'endpoint': f'127.0.0.1:{port}',
+            },
+        )
+        try:
+            await _start(platform, 1)
+            await platform.until(lambda: sent)
+        finally:
+            server.close()
+        assert max(sent) <= MAX_ACCEPTED_BYTES
+
     async def test_link_that_does_not_subscribe_is_closed(
         self, platform, monkeypatch
     ):
