Move the responses to callers out of the handling of requests

What builds and streams responses is now responses.py; no statement changes. The mutation of a false status names the new module, and that of a lost connection the text as it is since.

--- a/packages/entry/src/dragonflyslip_entry/gateway/handling.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/handling.py
@@ -10,7 +10,6 @@
 import typing
 
 from aiohttp import web
-import multidict
 
 from dragonflyslip_core import admission
 from dragonflyslip_entry import errors
@@ -23,6 +22,7 @@
 from dragonflyslip_entry.gateway import probing
 from dragonflyslip_entry.gateway import repeating
 from dragonflyslip_entry.gateway import request_matching
+from dragonflyslip_entry.gateway import responses
 from dragonflyslip_entry.gateway import sending
 from dragonflyslip_entry.gateway import target_selection
 from dragonflyslip_entry import logs
@@ -57,6 +57,7 @@
         self.target_selector = target_selector
         self.sender = sender
         self.repeater = repeating.Repeater(board, target_selector, sender)
+        self.responder = responses.Responder(board, dialect, sender)
         self.matcher = request_matching.RequestMatcher(board, dialect)
         self.dialect = dialect
         self.metrics = gateway_metrics
@@ -122,7 +123,7 @@
                 reason=call.reason,
                 manifest=self._manifest_version(),
             )
-            response = self._error_response(request, call)
+            response = self.responder.error(request, call)
             if _expects_continue(request):
                 # Whether its body follows or another request is unknown.
                 response.force_close()
@@ -223,11 +224,12 @@
             )
             if isinstance(outcome, sending.Answered):
                 if not outcome.complete:
-                    checked = self._correct_status(call, outcome)
+                    checked = self.responder.correct_status(call, outcome)
                     if isinstance(checked, error_responses.ErrorResponse):
                         self.sender.release(probed, False)
                         return checked
-                    return await self._stream(
+                    self._start_streaming(call)
+                    return await self.responder.stream(
                         request, call, probed, body, checked
                     )
                 if not (
@@ -309,87 +311,17 @@
         | web.StreamResponse,
     ) -> web.StreamResponse:
         if isinstance(answer, sending.Answered):
-            answer = self._correct_status(call, answer)
+            answer = self.responder.correct_status(call, answer)
         if isinstance(answer, error_responses.ErrorResponse):
             self._log_result(call, 'request failed', answer.status)
-            return self._error_response(request, answer)
+            return self.responder.error(request, answer)
         if isinstance(answer, sending.Answered):
-            response = self._relayed_response(answer)
-            response.body = answer.body
-            self._close_if_draining(request, response)
+            response = self.responder.relayed(request, answer)
         else:
             response = answer
         self._log_result(call, 'request answered', response.status)
         return response
 
-    def _correct_status(
-        self, call: calls.Call, answer: sending.Answered
-    ) -> sending.Answered | error_responses.ErrorResponse:
-        """Replace a status that would falsely state that nothing ran.
-
-        A repeatable request may run twice, so its status is passed on.
-        """
-        status = answer.response.status
-        if (
-            status in self.dialect.not_run_statuses
-            and not call.route.kind.repeatable
-        ):
-            call.reason = (
-                f'target answered {status} although the request may have run'
-            )
-            return error_responses.ErrorResponse(502, call.reason)
-        return answer
-
-    def _relayed_response(self, answer: sending.Answered) -> web.Response:
-        received = self._end_to_end_headers(answer.response.headers)
-        received.popall('Content-Length', None)
-        return web.Response(
-            status=answer.response.status,
-            reason=answer.response.reason,
-            headers=received,
-        )
-
-    def _end_to_end_headers(
-        self, received: adapters.Headers
-    ) -> multidict.CIMultiDict[str]:
-        return calls.end_to_end_headers(
-            received, self.dialect.end_to_end_headers
-        )
-
-    async def _stream(
-        self,
-        request: web.BaseRequest,
-        call: calls.Call,
-        probed: probing.ProbedTarget,
-        body: calls.RequestBody | None,
-        answer: sending.Answered,
-    ) -> web.StreamResponse:
-        """Stream a response that is too large to be buffered."""
-        self._start_streaming(call)
-        response = answer.response
-        relayed = web.StreamResponse(
-            status=response.status,
-            reason=response.reason,
-            headers=self._end_to_end_headers(response.headers),
-        )
-        self._close_if_draining(request, relayed)
-        whole = False
-        try:
-            await relayed.prepare(request)
-            await relayed.write(answer.body)
-            async for chunk in response.content.iter_any():
-                await relayed.write(chunk)
-            if not response.complete:
-                raise ConnectionError('the response was truncated')
-            await relayed.write_eof()
-            whole = True
-        finally:
-            self.sender.stream_ended(call, probed, body, answer, whole)
-            if not whole and request.transport is not None:
-                # The part that the caller has received must not look complete.
-                request.transport.abort()
-        return relayed
-
     def _start_streaming(self, call: calls.Call) -> None:
         # No error response can follow, so the stop does not end a stream
         # before all connections close.
@@ -399,26 +331,6 @@
         if not timeout.expired():
             timeout.reschedule(call.deadline_at)
 
-    def _error_response(
-        self,
-        request: web.BaseRequest,
-        error_response: error_responses.ErrorResponse,
-    ) -> web.Response:
-        text = error_response.reason.partition(':')[0]
-        response = web.Response(status=error_response.status, text=f'{text}\n')
-        if error_response.retry_after_s is not None:
-            response.headers['Retry-After'] = (
-                f'{error_response.retry_after_s:g}'
-            )
-        self._close_if_draining(request, response)
-        return response
-
-    def _close_if_draining(
-        self, request: web.BaseRequest, response: web.StreamResponse
-    ) -> None:
-        if self.board.draining:
-            request.protocol.close_if_last(response)
-
     def _log_result(
         self, call: calls.Call, event: str, status: int | None
     ) -> None:
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -506,7 +506,7 @@
     Mutation(
         'lost-connection-is-a-crash',
         f'{_GATEWAY}/target_inquiries.py',
-        'if target_id == target.target_id:',
+        'if target_id == inquiry.target.target_id:',
         'if False:',
         f'{_CRASH_TESTS}::TestRequestsThatOthersCrash',
     ),
@@ -751,7 +751,7 @@
     ),
     Mutation(
         'gateway-false-busy',
-        f'{_GATEWAY}/handling.py',
+        f'{_GATEWAY}/responses.py',
         'status in self.dialect.not_run_statuses',
         'False',
         f'{_FAULT_TESTS}::TestBadAnswers',
