--- /dev/null
+++ b/packages/entry/src/dragonflyslip_entry/gateway/entry_records.py
@@ -0,0 +1,57 @@
+"""Records with which the gateways register in a feed of the platform."""
+
+import msgspec
+
+from dragonflyslip_core import feeds
+from dragonflyslip_entry import flag_settings
+from dragonflyslip_entry.gateway import crash_records
+
+
+class EntryRecord(msgspec.Struct, frozen=True):
+    """Registration record of a gateway; its key is the gateway's name.
+
+    :param incarnation: random 64-bit number that identifies the process.
+    :param endpoint: IP:PORT at which other gateways reach it.
+    """
+
+    incarnation: int
+    failure_domain: flag_settings.Name
+    endpoint: flag_settings.Endpoint
+
+    def __post_init__(self):
+        if not 0 <= self.incarnation < 2**64:
+            raise ValueError(
+                'the incarnation is not an unsigned 64-bit number'
+            )
+
+
+# Raises DecodeError or RecursionError for a malformed value.
+decode = msgspec.json.Decoder(
+    EntryRecord, dec_hook=flag_settings.decode_hook
+).decode
+
+
+def is_valid(record: feeds.FeedRecord) -> bool:
+    """Return whether a record registers a gateway."""
+    if record.value is None:
+        return False
+    try:
+        decode(record.value)
+    except (msgspec.DecodeError, RecursionError):
+        return False
+    return True
+
+
+def is_gateway(record: feeds.FeedRecord) -> bool:
+    """Return whether a record belongs to a gateway, valid or not."""
+    return not record.key.startswith(crash_records.KEY_PREFIX)
+
+
+def find(
+    page: feeds.FeedPage, key: str, value: bytes
+) -> feeds.FeedRecord | None:
+    """Return the record with this key and value, None if there is none."""
+    for record in page.records:
+        if record.key == key and record.value == value:
+            return record
+    return None
--- a/packages/entry/src/dragonflyslip_entry/gateway/feeds.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/feeds.py
@@ -18,8 +18,8 @@
 from dragonflyslip_entry import flag_settings
 from dragonflyslip_entry.gateway import adapters
 from dragonflyslip_entry.gateway import board as board_types
-from dragonflyslip_entry.gateway import crash_records
 from dragonflyslip_entry.gateway import crash_reports
+from dragonflyslip_entry.gateway import entry_records
 from dragonflyslip_entry.gateway import relay as relay_types
 from dragonflyslip_entry import logs
 
@@ -44,29 +44,6 @@
 SOURCE_LOST_AGE_S = 1.5
 
 
-class EntryRecord(msgspec.Struct, frozen=True):
-    """Registration record of a gateway; its key is the gateway's name.
-
-    :param incarnation: random 64-bit number that identifies the process.
-    :param endpoint: IP:PORT at which other gateways reach it.
-    """
-
-    incarnation: int
-    failure_domain: flag_settings.Name
-    endpoint: flag_settings.Endpoint
-
-    def __post_init__(self):
-        if not 0 <= self.incarnation < 2**64:
-            raise ValueError(
-                'the incarnation is not an unsigned 64-bit number'
-            )
-
-
-_decode_entry = msgspec.json.Decoder(
-    EntryRecord, dec_hook=flag_settings.decode_hook
-).decode
-
-
 @dataclasses.dataclass
 class _Feed:
     """The copy of one feed and the state of its reads.
@@ -154,7 +131,7 @@
 
     async def _register(self) -> None:
         """Register, and copy from gateways that registered earlier."""
-        record = EntryRecord(
+        record = entry_records.EntryRecord(
             incarnation=self.own_id.incarnation,
             failure_domain=str(self.board.failure_domain),
             endpoint=str(self.endpoint),
@@ -170,13 +147,15 @@
             # wrote under this name does not match.
             match outcome:
                 case result.Success(page) if (
-                    own := _find_record(page, self.own_id.name, value)
+                    own := entry_records.find(page, self.own_id.name, value)
                 ) is not None:
                     break
                 case result.Failure(error):
                     logs.info('registration failed', reason=error.message)
             await asyncio.sleep(random.uniform(RETRY_MIN_S, RETRY_MAX_S))
-        gateways = [item for item in page.records if _is_gateway(item)]
+        gateways = [
+            item for item in page.records if entry_records.is_gateway(item)
+        ]
         older = self._older_gateways(gateways, own.offset)
         now = self.loop.time()
         self.board.fleet.record_count(len(gateways), now)
@@ -196,7 +175,7 @@
             if record.offset >= own_offset or record.value is None:
                 continue
             try:
-                entry = _decode_entry(record.value)
+                entry = entry_records.decode(record.value)
             except (msgspec.DecodeError, RecursionError) as error:
                 self.sink.record_skipped(record.key, str(error))
                 continue
@@ -369,35 +348,11 @@
         if page.complete:
             self._gateways.clear()
         for record in page.records:
-            if not _is_gateway(record):
+            if not entry_records.is_gateway(record):
                 continue
             self.relay.registration_ended(record.key, record.offset)
-            if _is_valid_entry(record):
+            if entry_records.is_valid(record):
                 self._gateways.add(record.key)
             else:
                 self._gateways.discard(record.key)
         self.board.target_limits.set_entries(frozenset(self._gateways))
-
-
-def _is_valid_entry(record: feeds.FeedRecord) -> bool:
-    if record.value is None:
-        return False
-    try:
-        _decode_entry(record.value)
-    except (msgspec.DecodeError, RecursionError):
-        return False
-    return True
-
-
-def _is_gateway(record: feeds.FeedRecord) -> bool:
-    return not record.key.startswith(crash_records.KEY_PREFIX)
-
-
-def _find_record(
-    page: feeds.FeedPage, key: str, value: bytes
-) -> feeds.FeedRecord | None:
-    """Return the record with this key and value, None if there is none."""
-    for record in page.records:
-        if record.key == key and record.value == value:
-            return record
-    return None
--- a/tests/fuzz_parsers.py
+++ b/tests/fuzz_parsers.py
@@ -25,7 +25,7 @@
 from dragonflyslip_core import membership
 from dragonflyslip_entry import errors
 from dragonflyslip_entry.gateway import crash_records
-from dragonflyslip_entry.gateway import feeds
+from dragonflyslip_entry.gateway import entry_records
 from dragonflyslip_entry.gateway import settings
 import dragonflyslip_wire as wire
 
@@ -182,7 +182,7 @@
         (_REGISTRATION,),
     ),
     'gateway': Parser(
-        feeds._decode_entry,
+        entry_records.decode,
         (b'{"incarnation":1,"failure_domain":"z","endpoint":"127.0.0.1:9"}',),
         (msgspec.DecodeError, RecursionError),
     ),
