Let another gateway try a refused request if one has left

Only the gateway that had recorded the last crash tried a refused request again. If it had been stopped or replaced under another name, a request that was refused wrongly stayed refused until its records expired, half an hour later. All gateways know who is registered, so they agree on another one by rendezvous hashing.

test_another_entry_tries_if_that_one_is_gone fails before (no entry tries) and passes. A gateway that was killed and stays registered is still waited for.

--- a/packages/core/src/dragonflyslip_core/request_crashes.py
+++ b/packages/core/src/dragonflyslip_core/request_crashes.py
@@ -22,6 +22,7 @@
 import dataclasses
 import enum
 
+from dragonflyslip_core import placement
 from dragonflyslip_core import request_identity
 
 # A request is refused after this many crashes, at least one of them of this
@@ -123,10 +124,12 @@
     All points in time are monotonic seconds.
 
     :param entry: name of this entry.
+    :ivar entries: names of the registered entries.
     """
 
     def __init__(self, entry: str):
         self.entry = entry
+        self.entries: frozenset[str] = frozenset()
         self._by_identity: dict[str, dict[str, _Known]] = {}
         self._by_life: dict[str, dict[str, _Known]] = {}
         self._open_lives: set[str] = set()
@@ -362,7 +365,7 @@
         if len(counted) >= MAX_TRIAL_CRASHES:
             return max(MIN_RETRY_AFTER_S, last.at + MEMORY_S - now)
         if (
-            last.crash.entry == self.entry
+            self._trial_entry(last.crash) == self.entry
             and now >= trial_at
             and now >= self._trials_end_at.get(identity, now)
         ):
@@ -373,6 +376,19 @@
             return MIN_RETRY_AFTER_S
         return max(MIN_RETRY_AFTER_S, trial_at - now)
 
+    def _trial_entry(self, crash: RequestCrash) -> str:
+        """Return the name of the entry that may try the request again.
+
+        It is the one that recorded the crash, or while that is gone another
+        one on which all entries agree.
+        """
+        if crash.entry in self.entries or not self.entries:
+            return crash.entry
+        return min(
+            self.entries,
+            key=lambda name: placement.rendezvous_hash(name, crash.identity),
+        )
+
     def succeeded(self, identity: str) -> list[RequestCrash]:
         """Record a success of a request.
 
--- a/packages/core/tests/test_request_crashes.py
+++ b/packages/core/tests/test_request_crashes.py
@@ -22,6 +22,7 @@
             for number in range(count)
         ]
         self.lives = itertools.count()
+        self.crashes = []
 
     def crash(self, entry, now, identity=KILLER, depth=None, share=True):
         """Record a crash at one entry, and share it with the others."""
@@ -32,6 +33,7 @@
             identity, f'life-{next(self.lives):03}', depth, table.entry
         )
         assert table.add(crash, now)
+        self.crashes.append(crash)
         if share:
             self.share(crash, now)
         return crash
@@ -136,6 +138,21 @@
         assert fleet.admitted(delay_s) == [False, True, False]
         assert fleet.admitted(delay_s + 0.1) == [False, False, False]
 
+    def test_another_entry_tries_if_that_one_is_gone(self, fleet):
+        """Guards against a request that is refused until records expire."""
+        self.refuse(fleet)
+        for table in fleet.tables:
+            table.entries = frozenset({'entry-0', 'entry-2', 'entry-3'})
+        assert sum(fleet.admitted(request_crashes.TRIAL_DELAY_S)) <= 1
+        others = [fleet.tables[0], fleet.tables[2]]
+        others.append(request_crashes.RequestCrashes('entry-3'))
+        others[2].entries = others[0].entries
+        for crash in fleet.crashes:
+            others[2].add(crash, 0.0, shared=True)
+        at = request_crashes.TRIAL_DELAY_S + request_crashes.TRIAL_TIMEOUT_S
+        admitted = [table.admit(KILLER, at) is None for table in others]
+        assert sum(admitted) == 1
+
     def test_cancelled_trial_is_followed_by_another(self, fleet):
         self.refuse(fleet)
         at = request_crashes.TRIAL_DELAY_S
--- a/packages/entry/src/dragonflyslip_entry/gateway/board.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/board.py
@@ -90,6 +90,11 @@
         for budget in self.repeat_budgets.values():
             budget.entries = entries
 
+    def set_registered_entries(self, names: frozenset[str]) -> None:
+        """Record the names of all registered gateways."""
+        self.target_limits.set_entries(names)
+        self.request_crashes.entries = names
+
     def count(self, name: str, amount: int = 1) -> None:
         """Add ``amount`` to the counter ``name``."""
         self.counters[name] += amount
--- a/packages/entry/src/dragonflyslip_entry/gateway/feeds.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/feeds.py
@@ -355,4 +355,4 @@
                 self._gateways.add(record.key)
             else:
                 self._gateways.discard(record.key)
-        self.board.target_limits.set_entries(frozenset(self._gateways))
+        self.board.set_registered_entries(frozenset(self._gateways))
