Test that a probe ends what another gateway suspects

The mutation answer-clears-nothing survived: the question to a target ends a suspicion as well as a probe does. The new test has records of a gateway that is gone, which only an answer to a probe can end.

--- a/tests/adapter/test_ends_of_targets.py
+++ b/tests/adapter/test_ends_of_targets.py
@@ -2,11 +2,14 @@
 
 import asyncio
 import contextlib
+import time
 
 import pytest
 
 import dragonflyslip_adapter
+from dragonflyslip_core import request_identity
 from dragonflyslip_emulator import faults
+from dragonflyslip_entry.gateway import crash_records
 from dragonflyslip_entry.gateway import probing
 from tests.adapter import callers
 from tests.adapter import conftest
@@ -194,3 +197,36 @@
             target.resume()
         await asyncio.sleep(2.5)
         assert (await platform.call('/safe/1')).status == 200
+
+    async def test_answer_to_a_probe_ends_what_another_gateway_suspects(
+        self, platform
+    ):
+        """Guards against suspicions that outlive the gateway that had them."""
+        for _ in range(3):
+            await platform.add_target()
+        identity = request_identity.identity(
+            request_identity.path_identity('GET', conftest.HOST, '/safe/1'),
+            b'',
+        )
+        for depth, target in enumerate(platform.targets, 1):
+            life = crash_records.target_life(
+                target.target_id, target.started_at_ms
+            )
+            await platform.store.put(
+                dragonflyslip_adapter.Adapter.entries_feed,
+                f'crash/{identity}/{life}',
+                {
+                    'depth': depth,
+                    'entry': 'gone',
+                    'at_ms': int(time.time() * 1000),
+                    'ended': False,
+                },
+            )
+        await platform.publish()
+        await platform.start()
+        crashes = platform.gateway.board.request_crashes
+        await platform.until(lambda: len(crashes) == 3)
+        assert (await platform.call('/safe/1')).status == 503
+        for number in range(2, 12):
+            await platform.call(f'/safe/{number}')
+        assert (await platform.call('/safe/1')).status == 200
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -524,7 +524,8 @@
         f'{_GATEWAY}/probing.py',
         'self.on_answer(target, asked_at)',
         'pass',
-        f'{_END_TESTS}::TestRequestsNearAnEnd',
+        f'{_END_TESTS}::TestRequestsNearAnEnd'
+        '::test_answer_to_a_probe_ends_what_another_gateway_suspects',
     ),
     Mutation(
         'restart-under-the-id-ignored',
