--- a/tests/adapter/test_cut_heads.py
+++ b/tests/adapter/test_cut_heads.py
@@ -70,6 +70,28 @@
         assert answer.body == b'connection broke\n'
         assert len(platform.runs()) == 1
 
+    @pytest.mark.parametrize('cut', [9, 15, 30, HEAD_LENGTH - 1])
+    async def test_request_of_unknown_type_runs_once(self, platform, cut):
+        """Guards against a second run after a response that was cut."""
+        await start(platform, 'novel', RESPONSE[:cut])
+        other = await platform.add_target()
+        other.work_percent = 500
+        await platform.until(
+            lambda: len(platform.gateway.board.directory.targets) == 2
+        )
+        reply = await platform.call('/novel/1')
+        assert reply.status == 502
+        assert len(platform.runs()) == 1
+
+    async def test_request_is_sent_again_each_time_it_comes(self, platform):
+        """Guards against a refusal because of a target that lives on."""
+        await start(platform, 'unsafe', RESPONSE[:30])
+        statuses = [
+            (await platform.call('/unsafe/1', 'POST')).status for _ in range(8)
+        ]
+        assert statuses == [502] * 8
+        assert len(platform.runs()) == 8
+
     @pytest.mark.parametrize('cut', [9, 15, 30, HEAD_LENGTH - 2])
     async def test_health_response_is_no_answer(self, platform, cut):
         """Guards against a request to a target whose probe was cut."""
