Make no chain of crashes out of slow responses

A target that was only being asked already deepened the next send. A slow request that comes often is always being asked about somewhere, so its depth rose without a crash; when three targets then failed at one moment, it was refused, by 1,800 s in the test. The depth could also rise beyond what other gateways accept in a record. Found by reading.

A suspicion now keeps which targets were being asked when the request was sent. Once its own target turns out to have crashed, those of them that crashed as well count as its chain; those that answered do not. Dropping them from the chain altogether was tried first: 12 targets that a request crashes within 0.7 s were then all of one moment, and three tests of test_ends_of_targets.py failed.

test_slow_targets_do_not_make_a_chain_of_crashes fails before.

--- a/packages/core/src/dragonflyslip_core/request_crashes.py
+++ b/packages/core/src/dragonflyslip_core/request_crashes.py
@@ -64,6 +64,8 @@
 
 
 OPEN_STATES = frozenset({ProcessState.UNKNOWN, ProcessState.MISSING})
+# A target that is only being asked mostly answers within milliseconds.
+COUNTED_STATES = frozenset({ProcessState.MISSING, ProcessState.ENDED})
 
 
 @dataclasses.dataclass(frozen=True)
@@ -88,6 +90,22 @@
         return self.identity, self.target_life
 
 
+@dataclasses.dataclass(frozen=True)
+class Chain:
+    """What was known of a request when it was sent to a target.
+
+    :param depth: highest depth of its crashes, 0 without one.
+    :param open_lives: targets that were being asked because of it. Those that
+        turn out to have crashed precede this send.
+    """
+
+    depth: int = 0
+    open_lives: frozenset[str] = frozenset()
+
+
+NO_CHAIN = Chain()
+
+
 @dataclasses.dataclass
 class _Known:
     """A crash that this entry knows or suspects.
@@ -98,6 +116,7 @@
     :param known_at: when this entry learned of it.
     :param state_at: when ``state`` changed.
     :param shared: whether the entries' exchange holds it.
+    :param after: targets that were being asked when the request was sent.
     :param taken_back: whether the request has succeeded since.
     :param deletion_expected: whether the exchange's record is being deleted
         because the target has answered.
@@ -109,13 +128,14 @@
     shared: bool
     state: ProcessState
     state_at: float
+    after: frozenset[str] = frozenset()
     taken_back: bool = False
     deletion_expected: bool = False
 
     @property
     def counts(self) -> bool:
-        """Whether it may have been a crash by this request."""
-        return not self.taken_back and self.state is not ProcessState.RUNNING
+        """Whether it counts as a crash by this request."""
+        return not self.taken_back and self.state in COUNTED_STATES
 
 
 class RequestCrashes:
@@ -133,10 +153,8 @@
         self._by_identity: dict[str, dict[str, _Known]] = {}
         self._by_life: dict[str, dict[str, _Known]] = {}
         self._open_lives: set[str] = set()
-        # Number of records by the first half of the identity and the state.
-        self._paths: collections.Counter[tuple[str, ProcessState]] = (
-            collections.Counter()
-        )
+        # Number of crashes by the first half of their identities.
+        self._paths: collections.Counter[str] = collections.Counter()
         self._count = 0
         self._trials_end_at: dict[str, float] = {}
 
@@ -159,30 +177,40 @@
         return target_life in self._open_lives
 
     def knows_path(self, path_half: str) -> bool:
-        """Return whether a request with this half of an identity counts."""
-        return self.crashed_at(path_half) or self._has(
-            path_half, ProcessState.UNKNOWN
-        )
-
-    def crashed_at(self, path_half: str) -> bool:
-        """Return whether such a request was at a target that is not back."""
-        return self._has(path_half, ProcessState.MISSING) or self._has(
-            path_half, ProcessState.ENDED
-        )
-
-    def _has(self, path_half: str, state: ProcessState) -> bool:
-        return self._paths.get((path_half, state), 0) > 0
-
-    def _count_path(self, known: _Known, amount: int) -> None:
-        key = _path_half(known.crash.identity), known.state
-        self._paths[key] += amount
-        if not self._paths[key]:
-            del self._paths[key]
+        """Return whether there is a crash with this half of an identity."""
+        return path_half in self._paths
 
     def depth(self, identity: str) -> int:
         """Return the depth that is known for a request, 0 if none is."""
         return max((k.crash.depth for k in self._counted(identity)), default=0)
 
+    def chain(self, identity: str) -> Chain:
+        """Return what is known of a request that is about to be sent."""
+        lives = self._by_identity.get(identity)
+        if not lives:
+            return NO_CHAIN
+        return Chain(
+            self.depth(identity),
+            frozenset(
+                life
+                for life, known in lives.items()
+                if known.state is ProcessState.UNKNOWN
+            ),
+        )
+
+    def suspect(
+        self, identity: str, target_life: str, chain: Chain, now: float
+    ) -> None:
+        """Record that a target has not responded to a request.
+
+        :param chain: result of :meth:`chain` before the request was sent.
+        """
+        crash = RequestCrash(
+            identity, target_life, chain.depth + 1, self.entry
+        )
+        self.add(crash, now, state=ProcessState.UNKNOWN)
+        self._by_identity[identity][target_life].after = chain.open_lives
+
     def add(
         self,
         crash: RequestCrash,
@@ -252,6 +280,7 @@
             for known in self._of_life(target_life)
             if known.state is ProcessState.UNKNOWN
         ]
+        self._resolve_chains(changed)
         self._set_state(changed, ProcessState.MISSING, now)
         return [known.crash for known in changed]
 
@@ -294,6 +323,7 @@
             or known.state is ProcessState.RUNNING
             and now - known.state_at <= RESTART_NOTICE_S
         ]
+        self._resolve_chains(changed)
         self._set_state(changed, ProcessState.ENDED, now)
         return [known.crash for known in changed]
 
@@ -433,6 +463,24 @@
             for known in lives.values()
         ]
 
+    def _resolve_chains(self, changed: list[_Known]) -> None:
+        """Set the depths now that the targets asked before are known."""
+        for known in changed:
+            lives = self._by_identity[known.crash.identity]
+            before = [lives[life] for life in known.after if life in lives]
+            depths = [k.crash.depth for k in before if k.counts]
+            depth = max([known.crash.depth, *(1 + d for d in depths)])
+            if depth > known.crash.depth:
+                known.crash = dataclasses.replace(known.crash, depth=depth)
+
+    def _count_path(self, known: _Known, amount: int) -> None:
+        if known.state not in COUNTED_STATES:
+            return
+        half = _path_half(known.crash.identity)
+        self._paths[half] += amount
+        if not self._paths[half]:
+            del self._paths[half]
+
     def _of_life(self, target_life: str) -> list[_Known]:
         return list(self._by_life.get(target_life, {}).values())
 
@@ -480,14 +528,8 @@
 
 
 def _is_refused(counted: list[_Known]) -> bool:
-    # A target that is only being asked mostly answers within milliseconds.
-    crashes = [
-        known.crash
-        for known in counted
-        if known.state is not ProcessState.UNKNOWN
-    ]
-    return len(crashes) >= REFUSED_CRASHES and any(
-        crash.depth >= REFUSED_DEPTH for crash in crashes
+    return len(counted) >= REFUSED_CRASHES and any(
+        known.crash.depth >= REFUSED_DEPTH for known in counted
     )
 
 
--- a/packages/entry/src/dragonflyslip_entry/gateway/calls.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/calls.py
@@ -8,6 +8,7 @@
 import multidict
 
 from dragonflyslip_core import manifest as manifest_types
+from dragonflyslip_core import request_crashes
 from dragonflyslip_core import request_identity
 from dragonflyslip_entry import errors
 from dragonflyslip_entry import headers
@@ -41,7 +42,7 @@
         it is stopping.
     :param streaming: whether the response is sent while it arrives.
     :param answered: whether a target has responded without a server error.
-    :param crash_depth: depth of the crashes that were known when it was sent.
+    :param crash_chain: what was known of its crashes when it was sent.
     :param is_crash_trial: whether it may be sent although it was in flight at
         several crashes.
     """
@@ -64,7 +65,7 @@
     stop_at: float = math.inf
     streaming: bool = False
     answered: bool = False
-    crash_depth: int = 0
+    crash_chain: request_crashes.Chain = request_crashes.NO_CHAIN
     is_crash_trial: bool = False
 
     @functools.cached_property
--- a/packages/entry/src/dragonflyslip_entry/gateway/crash_reports.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/crash_reports.py
@@ -92,23 +92,21 @@
         return wait_s
 
     def is_known(self, call: calls.Call) -> bool:
-        """Return whether a request with the same path is suspected."""
+        """Return whether a request with the same path was at a crash."""
         return len(self.crashes) > 0 and self.crashes.knows_path(
             call.path_identity
         )
 
-    def has_crashed(self, call: calls.Call) -> bool:
-        """Return whether such a request was at a target that is not back."""
-        return len(self.crashes) > 0 and self.crashes.crashed_at(
-            call.path_identity
-        )
-
-    def depth(self, call: calls.Call, body: calls.RequestBody | None) -> int:
-        """Return the depth of the known crashes before a request is sent."""
-        if not self.is_known(call):
-            return 0
+    def chain(
+        self, call: calls.Call, body: calls.RequestBody | None
+    ) -> request_crashes.Chain:
+        """Return what is known of a request that is about to be sent."""
+        if not self.crashes.has_open and not self.is_known(call):
+            return request_crashes.NO_CHAIN
         identity = calls.identity_of(call, body)
-        return 0 if identity is None else self.crashes.depth(identity)
+        if identity is None:
+            return request_crashes.NO_CHAIN
+        return self.crashes.chain(identity)
 
     def is_refused(
         self, call: calls.Call, body: calls.RequestBody | None
@@ -155,14 +153,8 @@
     ) -> None:
         identity = calls.identity_of(call, body)
         if identity is not None:
-            crash = request_crashes.RequestCrash(
-                identity,
-                _life_of(target),
-                call.crash_depth + 1,
-                self.crashes.entry,
-            )
-            self.crashes.add(
-                crash, self.loop.time(), state=ProcessState.UNKNOWN
+            self.crashes.suspect(
+                identity, _life_of(target), call.crash_chain, self.loop.time()
             )
 
     def succeeded(
--- a/packages/entry/src/dragonflyslip_entry/gateway/repeating.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/repeating.py
@@ -72,7 +72,7 @@
             body is not None
             or not call.route.kind.repeatable
             # It may have crashed a target, so it goes to one at a time.
-            or self.sender.crashes.has_crashed(call)
+            or self.sender.crashes.is_known(call)
         ):
             outcome = await self.sender.send(call, probed, body)
             self._record_latency(call, load, probed, outcome, started)
@@ -139,7 +139,7 @@
             # A hedge would only lengthen the queue of a heavily loaded target.
             if other.expected_work > admission.HEDGE_MAX_WORK:
                 return
-            if self.sender.crashes.has_crashed(call) or not self.may_repeat(
+            if self.sender.crashes.is_known(call) or not self.may_repeat(
                 call, None
             ):
                 return
--- a/packages/entry/src/dragonflyslip_entry/gateway/sending.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/sending.py
@@ -97,7 +97,7 @@
         The connection is given back or closed, unless the response is
         incomplete: then the calling code must call :meth:`release`.
         """
-        call.crash_depth = self.crashes.depth(call, body)
+        call.crash_chain = self.crashes.chain(call, body)
         standing = self.board.standing_of(probed.target.target_id)
         standing.unseen += 1
         outcome: SendOutcome | None = None
