Let callers come back soon while targets are missing

Six targets or more that do not answer made the Retry-After of their request half an hour, although it is accepted again as soon as enough of them answer. Found by reading; the test with six targets fails before.

--- a/packages/core/src/dragonflyslip_core/request_crashes.py
+++ b/packages/core/src/dragonflyslip_core/request_crashes.py
@@ -392,10 +392,10 @@
         last = max(counted, key=lambda k: (k.crash.depth, *k.crash.key))
         extra = len(counted) - REFUSED_CRASHES
         trial_at = last.at + TRIAL_DELAY_S * TRIAL_DELAY_FACTOR**extra
-        if len(counted) >= MAX_TRIAL_CRASHES:
-            return max(MIN_RETRY_AFTER_S, last.at + MEMORY_S - now)
+        has_trials = len(counted) < MAX_TRIAL_CRASHES
         if (
-            self._trial_entry(last.crash) == self.entry
+            has_trials
+            and self._trial_entry(last.crash) == self.entry
             and now >= trial_at
             and now >= self._trials_end_at.get(identity, now)
         ):
@@ -404,7 +404,8 @@
         if any(known.state is ProcessState.MISSING for known in counted):
             # It is accepted again as soon as enough of them have answered.
             return MIN_RETRY_AFTER_S
-        return max(MIN_RETRY_AFTER_S, trial_at - now)
+        ends_at = trial_at if has_trials else last.at + MEMORY_S
+        return max(MIN_RETRY_AFTER_S, ends_at - now)
 
     def _trial_entry(self, crash: RequestCrash) -> str:
         """Return the name of the entry that may try the request again.
--- a/packages/core/tests/test_request_crashes.py
+++ b/packages/core/tests/test_request_crashes.py
@@ -346,9 +346,14 @@
         assert len(table) == 0
         assert not table.has_open
 
-    def test_missing_targets_do_not_keep_callers_away_for_long(self, table):
-        self.suspect_three(table)
-        for number in range(3):
+    @pytest.mark.parametrize('count', [3, request_crashes.MAX_TRIAL_CRASHES])
+    def test_missing_targets_do_not_keep_callers_away_for_long(
+        self, table, count
+    ):
+        """Guards against callers that come back long after the targets."""
+        for number in range(count):
+            self.suspect(table, f'life-{number}', 0.0)
+        for number in range(count):
             table.missing(f'life-{number}', 3.0)
         assert table.admit(KILLER, 3.0) == request_crashes.MIN_RETRY_AFTER_S
 
