Test that a stopping gateway leaves what it suspects

A gateway that stops while it asks a target writes what it suspects, so that the others know of it. That had no test. The mutation that leaves it out makes the test fail, and so do two of the chains of crashes.

--- a/tests/adapter/test_ends_of_targets.py
+++ b/tests/adapter/test_ends_of_targets.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import json
 import time
 
 import pytest
@@ -153,6 +154,28 @@
         )
 
 
+class TestStop:
+    async def test_gateway_that_stops_leaves_what_it_suspects(self, platform):
+        """Guards against a suspicion that ends with its gateway."""
+        await start_targets(
+            platform, address_when_down=SILENT, crashes_silently=True
+        )
+        await platform.start()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(0.2):
+                await platform.call(crash_helpers.KILLER)
+        await platform.stop()
+        topic = platform.store.topics[
+            dragonflyslip_adapter.Adapter.entries_feed
+        ]
+        records = [
+            json.loads(value)
+            for key, (_, value) in topic.newest.items()
+            if key.startswith('crash/')
+        ]
+        assert [record['ended'] for record in records] == [False]
+
+
 class TestRequestsNearAnEnd:
     @pytest.mark.parametrize('address', faults.DownAddress)
     async def test_common_request_is_served(self, platform, address):
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -542,6 +542,27 @@
         f'{_END_TESTS}::TestEndsOfTargets'
         '::test_caller_that_leaves_hides_no_crash',
     ),
+    Mutation(
+        'stop-forgets-suspicions',
+        f'{_GATEWAY}/crash_reports.py',
+        'for target_life in self.crashes.open_lives:',
+        'for target_life in ():',
+        f'{_END_TESTS}::TestStop',
+    ),
+    Mutation(
+        'slow-targets-are-a-chain',
+        f'{_CORE}/request_crashes.py',
+        'depths = [k.crash.depth for k in before if k.counts]',
+        'depths = [k.crash.depth for k in before]',
+        f'{_CORE_TESTS}/test_request_crashes.py::TestStates',
+    ),
+    Mutation(
+        'chains-of-asked-targets-ignored',
+        f'{_CORE}/request_crashes.py',
+        'known.crash = dataclasses.replace(known.crash, depth=depth)',
+        'pass',
+        f'{_CORE_TESTS}/test_request_crashes.py::TestStates',
+    ),
     Mutation(
         'stream-hides-a-crash',
         f'{_GATEWAY}/sending.py',
