--- a/packages/entry/src/dragonflyslip_entry/gateway/crash_reports.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/crash_reports.py
@@ -128,7 +128,7 @@
     ) -> None:
         """Suspect a crash, and wait for a short time for the target's answer.
 
-        The target is asked on in the background.
+        Asking goes on in the background after that.
         """
         self._add_suspicion(call, body, target)
         await self.inquiries.first_result(
--- a/packages/entry/src/dragonflyslip_entry/gateway/target_inquiries.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/target_inquiries.py
@@ -46,8 +46,8 @@
 class TargetInquiries:
     """Asks targets until they answer or are known to have ended.
 
-    :param targets: the registered targets; one that is not registered any
-        more is not asked on.
+    :param targets: the registered targets. Asking ends for a target that
+        does not answer and is no longer registered.
     :param is_suspected: returns whether the state of a target matters.
     """
 
