--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -485,8 +485,8 @@
     Mutation(
         'crash-chains-ignored',
         f'{_CORE}/request_crashes.py',
-        'crash.depth >= REFUSED_DEPTH for crash in crashes',
-        'False for crash in crashes',
+        'known.crash.depth >= REFUSED_DEPTH for known in counted',
+        'False for known in counted',
         f'{_CRASH_TESTS}::TestRequestsThatCrashTargets',
     ),
     Mutation(
