Let a read of the store go on while its response arrives

Callers got 503 from all gateways, for as long as a long manifest was in force: after a kill of all, none of them could read it over a link of 5 Mbit/s. A page of newest records had 0.4 s in all; 320 KB take 0.51 s. What had arrived was thrown away and the same page requested again.

A response must now begin in time and make progress: no second without a byte, no mean below 32 KiB/s. Other responses on the link move the time by which one must begin, by 5 s at most. A body without a stated end keeps the fixed time, so a peer that sends slowly without end is given up as before.

--- /dev/null
+++ b/packages/core/src/dragonflyslip_core/transfers.py
@@ -0,0 +1,64 @@
+"""How long to wait for a response whose length and link are not known.
+
+A fixed time for a whole response either ends long responses on slow links or
+lets a silent peer hold a read for long. A transfer therefore ends when nothing
+has arrived for some time, or when it has become slower than a lowest rate.
+"""
+
+# Time until a response begins if nothing else arrives over the link.
+RESPONSE_TIMEOUT_S = 0.4
+# How much later a response may begin that is queued behind others.
+MAX_QUEUED_S = 5.0
+# Time without a byte of a body. TCP sends a lost segment again within it.
+STALL_TIMEOUT_S = 1.0
+# Lowest mean rate of a body. Ten transfers that share a link of 5 Mbit/s are
+# twice as fast.
+MIN_BYTES_PER_S = 32_768
+
+
+class TransferDeadline:
+    """The time at which a response that makes no progress is given up.
+
+    Times are monotonic seconds.
+
+    :param now: when the transfer begins, for example by connecting.
+    :param wait_s: how long the peer may wait before it responds.
+    :ivar at: when to give up, unless more progress is recorded.
+    """
+
+    def __init__(self, now: float, wait_s: float = 0.0):
+        self.body_began_at: float | None = None
+        self.received_bytes = 0
+        self.expect_response(now, wait_s)
+
+    def expect_response(self, now: float, wait_s: float) -> None:
+        """Record that the request is sent."""
+        self.at = now + wait_s + RESPONSE_TIMEOUT_S
+        self._latest_at = self.at + MAX_QUEUED_S
+
+    def begin_body(self, now: float) -> None:
+        """Record that a body began to arrive whose end will be known.
+
+        Without this call, the time for the response includes its body.
+        """
+        self.body_began_at = now
+        self.record_bytes(0, now)
+
+    def record_bytes(self, count: int, now: float) -> None:
+        """Record bytes of the body."""
+        if self.body_began_at is None:
+            return
+        self.received_bytes += count
+        self._latest_at = (
+            self.body_began_at
+            + STALL_TIMEOUT_S
+            + self.received_bytes / MIN_BYTES_PER_S
+        )
+        self.at = min(now + STALL_TIMEOUT_S, self._latest_at)
+
+    def record_link_activity(self, now: float) -> None:
+        """Record bytes of another transfer over the same link.
+
+        This one may be queued behind them.
+        """
+        self.at = max(self.at, min(now + RESPONSE_TIMEOUT_S, self._latest_at))
--- a/packages/entry/src/dragonflyslip_entry/http_connection.py
+++ b/packages/entry/src/dragonflyslip_entry/http_connection.py
@@ -171,12 +171,15 @@
         )
 
     async def send(
-        self, request: Request, attempt: Attempt, read_timeout_s: float
+        self,
+        request: Request,
+        attempt: Attempt,
+        read_timeout_s: float | None,
     ) -> Response:
         """Send a request and return once the response headers have arrived.
 
         :param read_timeout_s: seconds without a byte of the response after
-            which it fails.
+            which it fails. None if the caller bounds the time.
         :raises SendRefusedError: if the check of the attempt failed.
         :raises CallerBodyError: if the request body ended early.
         :raises ClientError: if the connection broke or the response is
