Continue a read of the store where it broke off, and skip old versions

Callers were sent to the service of an older version for ever: twelve versions of a long manifest within 4 s stopped all later ones on links of 5 Mbit/s. A read had 1.6 s, and 0.4 s after a failure; a page of several versions needs more, was thrown away, and was requested again.

Ruled out by the log: a store that does not wake reads (933732 bytes had arrived), providers that do not pass versions on (the readers were behind).

The whole records of a page that breaks off are now applied, and the next read continues after them without a pause. If all unread records are much longer than the newest one of each key, these are read instead; otherwise a reader falls behind while more is written than its link carries. A page that ends before the end of the log no longer counts as current.

--- a/packages/core/src/dragonflyslip_core/feeds.py
+++ b/packages/core/src/dragonflyslip_core/feeds.py
@@ -12,6 +12,11 @@
 
 import dataclasses
 
+# The newest record of each key is read in place of all unread records if these
+# exceed it by so many bytes, which justifies the additional request.
+MIN_SAVED_BYTES = 65_536
+# Newest records are read in base64.
+_SNAPSHOT_EXPANSION = 4 / 3
 # Deleted keys that a copy remembers. A follower, that is, an entry that copies
 # from this one, gets a complete page if it is further behind.
 MAX_DELETED_KEYS = 4_096
@@ -47,6 +52,32 @@
     complete: bool = False
 
 
+@dataclasses.dataclass(frozen=True)
+class ReadPage(FeedPage):
+    """A page that was read from the log itself.
+
+    :param log_end: offset after the last record of the log when it responded.
+    """
+
+    log_end: int = 0
+
+    @property
+    def is_current(self) -> bool:
+        """Whether the page reached the end of the log."""
+        return self.through >= self.log_end
+
+
+def is_snapshot_shorter(unread_bytes: int, copy_bytes: int) -> bool:
+    """Return whether to read the newest records in place of all unread ones.
+
+    A gateway on a slow link would otherwise fall ever further behind while
+    long records are replaced faster than the link carries them.
+
+    :param copy_bytes: length of the newest records that the reader has.
+    """
+    return unread_bytes > _SNAPSHOT_EXPANSION * copy_bytes + MIN_SAVED_BYTES
+
+
 class FeedCopy:
     """The newest record of each key of one log.
 
@@ -60,6 +91,11 @@
         # that starts earlier needs a complete page.
         self._history_start = 0
 
+    @property
+    def value_bytes(self) -> int:
+        """Length of the newest values."""
+        return sum(len(item.value or b'') for item in self._newest.values())
+
     def apply(self, page: FeedPage) -> FeedPage | None:
         """Apply a page; return its new records, None if there are none.
 
--- a/packages/core/tests/test_feeds.py
+++ b/packages/core/tests/test_feeds.py
@@ -109,3 +109,31 @@
             page = copy.changes_since(None)
             assert {item.key: item.value for item in page.records} == live
             assert copy.through == len(records)
+
+
+class TestReadPage:
+    def test_page_before_the_end_of_the_log_is_not_current(self):
+        page = feeds.ReadPage((), 3, 5, log_end=6)
+        assert not page.is_current
+        assert feeds.ReadPage((), 3, 6, log_end=6).is_current
+
+
+class TestIsSnapshotShorter:
+    @pytest.mark.parametrize(
+        ('unread_bytes', 'copy_bytes', 'shorter'),
+        [
+            # One new version of a long manifest, two of them, and many.
+            (240_000, 240_000, False),
+            (480_000, 240_000, True),
+            (2_880_000, 240_000, True),
+            # Short records of many keys.
+            (60_000, 20_000, False),
+            (60_000, 0, False),
+        ],
+    )
+    def test_snapshot_replaces_long_records(
+        self, unread_bytes, copy_bytes, shorter
+    ):
+        # Guards against a gateway that reads each of many long records, of
+        # which only the newest counts.
+        assert feeds.is_snapshot_shorter(unread_bytes, copy_bytes) is shorter
--- a/packages/entry/src/dragonflyslip_entry/gateway/adapters.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/adapters.py
@@ -139,17 +139,26 @@
 
     async def newest(
         self, feed: str
-    ) -> result.Result[feeds.FeedPage, core_errors.CoreError]:
+    ) -> result.Result[feeds.ReadPage, core_errors.CoreError]:
         """Return the newest record of each key."""
 
     async def read(
-        self, feed: str, offset: int, wait_s: float
-    ) -> result.Result[feeds.FeedPage, core_errors.CoreError]:
+        self,
+        feed: str,
+        offset: int,
+        wait_s: float,
+        copy_bytes: int | None = None,
+    ) -> result.Result[feeds.ReadPage, core_errors.CoreError]:
         """Return the records from an offset on.
 
-        If the log no longer holds that offset, the page is complete.
+        The page is complete if the log no longer holds that offset, or if the
+        newest record of each key is much shorter than all records from it on.
+        It ends before the end of the log if the read failed after some
+        records.
 
         :param wait_s: how long to wait if there are no such records yet.
+        :param copy_bytes: length of the newest records that the caller has.
+            None reads all records.
         """
 
     async def append(
--- a/packages/entry/src/dragonflyslip_entry/gateway/feeds.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/feeds.py
@@ -12,6 +12,7 @@
 import msgspec
 from returns import result
 
+from dragonflyslip_core import errors as core_errors
 from dragonflyslip_core import feeds
 from dragonflyslip_core import membership
 from dragonflyslip_core import providers as provider_types
@@ -48,7 +49,8 @@
 class _Feed:
     """The copy of one feed and the state of its reads.
 
-    :param read_at: when this gateway's last successful read ended.
+    :param read_at: when this gateway's last read ended that reached the end
+        of the log.
     :param reading: whether its last read succeeded and the next one has
         begun, so that the copy counts as current.
     """
@@ -262,34 +264,19 @@
                 feed.reading = False
                 await self._must_read.wait()
             begun_at = self.loop.time()
-            wait_s = 0.0
-            if feed.copy.through is None:
-                self.board.count('feed_reads')
-                outcome = await self.log.newest(name)
-            elif (pause_s := self._reread_delay_s(feed, begun_at)) > 0:
+            if (pause_s := self._reread_delay_s(feed, begun_at)) > 0:
                 await asyncio.sleep(pause_s)
                 continue
-            else:
-                # The first read does not wait: its response makes the copy
-                # current for this gateway and those that copy from it.
-                wait_s = READ_WAIT_S if feed.reading else 0.0
-                self.board.count('feed_reads')
-                outcome = await self.log.read(name, feed.copy.through, wait_s)
-            match outcome:
+            self.board.count('feed_reads')
+            wait_s = self._choose_wait_s(feed)
+            match await self._read_once(name, wait_s):
                 case result.Success(page):
                     failures = 0
-                    self.relay.unreadable.discard(name)
-                    feed.read_at = self.loop.time()
-                    feed.reading = self._alone or not page.complete
-                    self.sink.source_regained(name)
-                    self._apply_page(name, page)
-                    if page.records:
-                        await asyncio.sleep(READ_PAUSE_S)
-                    elif feed.read_at - begun_at < wait_s / 2:
-                        # A store that does not wait would be read without end.
-                        self.board.count('early_reads')
-                        feed.reading = False
-                        await asyncio.sleep(self._retry_delay_s())
+                    read_at = self.loop.time()
+                    is_early = read_at - begun_at < wait_s / 2
+                    await asyncio.sleep(
+                        self._handle_read(name, page, read_at, is_early)
+                    )
                 case result.Failure(error):
                     feed.reading = False
                     self.relay.unreadable.add(name)
@@ -300,12 +287,54 @@
                     if failures > 1:
                         await asyncio.sleep(self._retry_delay_s())
 
+    def _choose_wait_s(self, feed: _Feed) -> float:
+        """Return how long the next read of a feed waits for a change."""
+        # The first read does not wait: its response makes the copy current
+        # for this gateway and those that copy from it.
+        if feed.copy.through is None or not feed.reading:
+            return 0.0
+        return READ_WAIT_S
+
+    async def _read_once(
+        self, name: str, wait_s: float
+    ) -> result.Result[feeds.ReadPage, core_errors.CoreError]:
+        feed = self.feeds[name]
+        if feed.copy.through is None:
+            return await self.log.newest(name)
+        return await self.log.read(
+            name, feed.copy.through, wait_s, feed.copy.value_bytes
+        )
+
+    def _handle_read(
+        self, name: str, page: feeds.ReadPage, now: float, is_early: bool
+    ) -> float:
+        """Apply a page of the store and return the pause before the next read.
+
+        :param is_early: whether the store responded before the end of the
+            wait.
+        """
+        feed = self.feeds[name]
+        self.relay.unreadable.discard(name)
+        if page.is_current:
+            feed.read_at = now
+        feed.reading = page.is_current and (self._alone or not page.complete)
+        self.sink.source_regained(name)
+        self._apply_page(name, page)
+        if page.records:
+            return READ_PAUSE_S if page.is_current else 0.0
+        if page.is_current and not is_early:
+            return 0.0
+        # A store that does not wait would be read without end.
+        self.board.count('early_reads')
+        feed.reading = False
+        return self._retry_delay_s()
+
     def _reread_delay_s(self, feed: _Feed, now: float) -> float:
         """Return how long to wait before a read that does not wait itself.
 
         Providers may confirm meanwhile a copy that was just read.
         """
-        if feed.reading or self._alone:
+        if feed.copy.through is None or feed.reading or self._alone:
             return 0.0
         return feed.read_at + REREAD_DELAY_S - now
 
--- a/tests/adapter/test_slow_links.py
+++ b/tests/adapter/test_slow_links.py
@@ -1,6 +1,7 @@
 """Long records of the store over links of 5 Mbit/s."""
 
 import asyncio
+import struct
 
 import pytest
 from returns import result
@@ -16,6 +17,8 @@
 LONG_MANIFEST_ROUTES = 1_360
 # A change must be in force this long after it was accepted.
 IN_FORCE_S = 2.5
+VERSIONS = 12
+VERSION_GAP_S = 0.33
 # A read of a peer that sends without end must end by then.
 MAX_READ_S = 5.0
 GATEWAYS = 4
@@ -79,6 +82,12 @@
         server.close()
 
 
+def _record(key: bytes, value: bytes) -> bytes:
+    """Return a record as a page contains it."""
+    record = bytes([len(key)]) + key + value
+    return struct.pack('>I', len(record)) + record
+
+
 async def _publish_long_manifest(platform, service: str) -> None:
     routes = [
         platform.route('unsafe', name=f'r-{n}', path_prefix=f'/r-{n:07}/')
@@ -102,6 +111,7 @@
         read = (await store.read('keyed.op', 0, 0.0)).unwrap()
         for page in (newest, read):
             assert [item.value for item in page.records] == [value]
+            assert page.is_current
         await store.close()
 
     async def test_short_response_may_come_behind_a_long_one(
@@ -119,6 +129,35 @@
         assert isinstance(await long_read, result.Success)
         await store.close()
 
+    async def test_records_that_arrived_are_kept(self, serve_parts):
+        # Guards against a page that a broken link never carries whole, and
+        # that is requested from its beginning each time.
+        records = [_record(b'a', b'1' * 9_000), _record(b'b', b'2' * 9_000)]
+        page = struct.pack('>QQ', 3, 0) + b''.join(records)
+        url = await serve_parts(40_000, [page, b'\0\0\x23\x28\1c333'])
+        store = dragonflyslip_adapter.Store(url)
+        async with asyncio.timeout(MAX_READ_S):
+            read = (await store.read('keyed.op', 0, 0.0)).unwrap()
+        assert [item.key for item in read.records] == ['a', 'b']
+        assert (read.through, read.is_current) == (2, False)
+        await store.close()
+
+    async def test_error_that_breaks_off_holds_no_records(self, platform):
+        async def serve(reader, writer):
+            await reader.readuntil(b'\r\n\r\n')
+            writer.write(b'HTTP/1.1 503 Busy\r\nContent-Length: 900\r\n\r\n')
+            writer.write(struct.pack('>QQ', 1, 0) + _record(b'a', b'1'))
+            await reader.read()
+            writer.close()
+
+        server = await asyncio.start_server(serve, '127.0.0.1', 0)
+        port = server.sockets[0].getsockname()[1]
+        store = dragonflyslip_adapter.Store(f'http://127.0.0.1:{port}')
+        outcome = await store.read('keyed.op', 0, 0.0)
+        assert isinstance(outcome, result.Failure)
+        await store.close()
+        server.close()
+
     @pytest.mark.parametrize('pause_s', [0.05, 0.5, 1.5])
     async def test_peer_that_sends_byte_by_byte_does_not_hold_a_read(
         self, serve_parts, pause_s
@@ -134,6 +173,22 @@
         assert all(isinstance(item, result.Failure) for item in outcomes)
         await store.close()
 
+    async def test_newest_version_replaces_all_unread_ones(
+        self, platform, slow_link
+    ):
+        # Guards against a reader that falls behind while versions come
+        # faster than its link carries them.
+        for number in range(VERSIONS):
+            value = bytes([number]) * MAX_RECORD_BYTES
+            await platform.store.put('keyed.op', 'config', value)
+        store = dragonflyslip_adapter.Store(await slow_link())
+        page = (
+            await store.read('keyed.op', 1, 0.0, MAX_RECORD_BYTES)
+        ).unwrap()
+        assert [item.value for item in page.records] == [value]
+        assert page.is_current
+        await store.close()
+
 
 class TestGateways:
     async def test_all_start_at_once_with_a_long_manifest(
@@ -157,3 +212,45 @@
             for item in gateways
         ]
         assert [reply.status for reply in replies] == [200] * GATEWAYS
+
+    async def test_quick_versions_of_a_long_manifest_are_in_force_in_time(
+        self, platform, slow_link
+    ):
+        # Guards against a gateway that asks for ever for a page with more
+        # versions than its link carries in the time of a read.
+        await platform.add_target()
+        await platform.publish()
+        gateways = [
+            await platform.add_gateway(store_url=await slow_link())
+            for _ in range(GATEWAYS)
+        ]
+        loop = asyncio.get_running_loop()
+        published_at = {}
+
+        def late_gateways() -> list[str]:
+            due = [
+                version
+                for version, accepted_at in published_at.items()
+                if loop.time() > accepted_at + IN_FORCE_S
+            ]
+            return [
+                item.options.name
+                for item in gateways
+                if item.board.manifest.version < max(due, default=0)
+            ]
+
+        until = loop.time()
+        for _ in range(VERSIONS):
+            await _publish_long_manifest(platform, 'casebook')
+            published_at[platform.version] = loop.time()
+            until += VERSION_GAP_S
+            while loop.time() < until:
+                assert late_gateways() == []
+                await asyncio.sleep(0.02)
+        await platform.until(
+            lambda: all(
+                item.board.manifest.version == platform.version
+                for item in gateways
+            )
+        )
+        assert loop.time() <= max(published_at.values()) + IN_FORCE_S
