Let pages between gateways arrive over slow links

The class of the last two faults, between gateways: a page that had not arrived 0.3 s after it was asked for was asked for again, from any provider, so its copies piled up on a slow link; a provider whose status waited behind them for 3 s was dropped. One provider sent a long page to all its subscribers at once over its own link.

A page is now asked for again only without progress, by the rule that holds for responses of the store. A provider sends a long page while few bytes wait for the network; the send buffer of the kernel is bounded, so that they can be counted.

--- a/packages/entry/src/dragonflyslip_entry/peer_links.py
+++ b/packages/entry/src/dragonflyslip_entry/peer_links.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections.abc
 import contextlib
+import socket
 import typing
 
 from dragonflyslip_core import membership
@@ -14,6 +15,9 @@
 # A link with more unsent bytes than this is closed, since its peer does not
 # read; a new one is opened instead.
 _MAX_BUFFERED_BYTES = 8 * wire.MAX_FRAME_BYTES
+# Limits what the kernel holds of a link, so that the unsent bytes of this
+# process show what a slow network has not carried yet.
+_SEND_BUFFER_BYTES = 65_536
 
 OnMessage = collections.abc.Callable[['PeerLink', typing.Any], None]
 
@@ -30,6 +34,7 @@
 
     :param on_message: called with the link and each message.
     :ivar finishing: whether nothing more can be sent.
+    :ivar received_bytes: number of bytes received so far.
     :ivar closed: set while there is no connection.
     """
 
@@ -40,12 +45,16 @@
         self.transport: asyncio.Transport | None = None
         self.peer: membership.EntryId | None = None
         self.finishing = False
+        self.received_bytes = 0
         self.closed = asyncio.Event()
         self.closed.set()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport."""
         self.transport = typing.cast(asyncio.Transport, transport)
+        self.transport.get_extra_info('socket').setsockopt(
+            socket.SOL_SOCKET, socket.SO_SNDBUF, _SEND_BUFFER_BYTES
+        )
         self.closed.clear()
 
     def data_received(self, data: bytes) -> None:
@@ -53,6 +62,7 @@
 
         Malformed bytes close the connection.
         """
+        self.received_bytes += len(data)
         try:
             for message in self.decoder.feed(data):
                 self.on_message(self, message)
@@ -74,6 +84,13 @@
             and not self.finishing
         )
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes that wait for the network."""
+        if self.transport is None:
+            return 0
+        return self.transport.get_write_buffer_size()
+
     def send(self, frame: bytes) -> bool:
         """Send a frame; return False if the link is closed or stuck.
 
@@ -82,7 +99,7 @@
         transport = self.transport
         if transport is None or not self.open:
             return False
-        if transport.get_write_buffer_size() > _MAX_BUFFERED_BYTES:
+        if self.unsent_bytes > _MAX_BUFFERED_BYTES:
             self.counters.count('peer_links_stuck')
             transport.abort()
             return False
--- a/packages/wire/src/dragonflyslip_wire/frames.py
+++ b/packages/wire/src/dragonflyslip_wire/frames.py
@@ -34,6 +34,11 @@
         self.error: errors.WireError | None = None
         self._buffer = bytearray()
 
+    @property
+    def has_partial_frame(self) -> bool:
+        """Whether the beginning of a frame has been received."""
+        return bool(self._buffer)
+
     def feed(self, data: bytes) -> typing.Iterator[messages.Message]:
         """Add received bytes and return the messages that are now complete.
 
--- a/tests/adapter/test_slow_links.py
+++ b/tests/adapter/test_slow_links.py
@@ -1,14 +1,20 @@
 """Long records of the store over links of 5 Mbit/s."""
 
 import asyncio
+import random
 import struct
 
 import pytest
 from returns import result
 
 import dragonflyslip_adapter
+from dragonflyslip_core import feeds as feed_types
+from dragonflyslip_core import transfers
 from dragonflyslip_emulator import store as store_types
+from dragonflyslip_entry.gateway import relay as relay_types
+from dragonflyslip_entry import peer_links
 from dragonflyslip_testing import relay as network
+import dragonflyslip_wire as wire
 
 LINK_BYTES_PER_S = 625_000
 # Longest record of the store.
@@ -22,6 +28,8 @@
 # A read of a peer that sends without end must end by then.
 MAX_READ_S = 5.0
 GATEWAYS = 4
+# Does not become short when it is packed.
+LONG_VALUE = random.Random(1).randbytes(240_000)
 
 
 @pytest.fixture
@@ -254,3 +262,73 @@
             )
         )
         assert loop.time() <= max(published_at.values()) + IN_FORCE_S
+
+
+class _Counters:
+    def count(self, name, amount=1):
+        pass
+
+
+class _Transport(asyncio.Transport):
+    """A transport to a peer; nothing is sent."""
+
+    def get_extra_info(self, name, default=None):
+        return self
+
+    def setsockopt(self, *option):
+        pass
+
+    def is_closing(self):
+        return False
+
+
+class TestLongPages:
+    """Pages that gateways copy from each other."""
+
+    @pytest.mark.parametrize('bytes_per_s', [20, 2_000, 100_000, 600_000])
+    def test_page_is_asked_for_again_only_without_progress(self, bytes_per_s):
+        # Guards against copies of a long page that pile up on a slow link,
+        # and against a peer that keeps a gateway waiting with a few bytes.
+        page = feed_types.FeedPage(
+            (feed_types.FeedRecord('config', LONG_VALUE, 0),), 0, 1
+        )
+        frame = wire.encode_frame(wire.FeedPush('keyed.op', page))
+        received = []
+        link = peer_links.PeerLink(
+            _Counters(), lambda _, message: received.append(message)
+        )
+        link.connection_made(_Transport())
+        pull = relay_types._Pull(link, 0.0)
+        now, sent = 0.0, 0
+        while not received and pull.is_pending(now):
+            now += 0.1
+            end = sent + int(bytes_per_s * 0.1)
+            link.data_received(frame[sent:end])
+            sent = end
+        is_fast = bytes_per_s >= transfers.MIN_BYTES_PER_S
+        assert bool(received) is is_fast
+        assert is_fast or now < MAX_READ_S
+
+    async def test_change_is_in_force_though_providers_are_congested(
+        self, platform, monkeypatch
+    ):
+        # Guards against gateways that wait until the slow link of a provider
+        # has carried a long page to all the others.
+        await platform.add_target()
+        await platform.publish()
+        gateways = [await platform.add_gateway() for _ in range(GATEWAYS)]
+        await asyncio.sleep(1.0)
+        monkeypatch.setattr(relay_types, 'MAX_UNSENT_BYTES', -1)
+        # Manifests become short when they are packed.
+        monkeypatch.setattr(relay_types, 'LONG_PAGE_BYTES', 0)
+        await _publish_long_manifest(platform, 'casebook')
+        async with asyncio.timeout(IN_FORCE_S):
+            while any(
+                item.board.manifest.version < platform.version
+                for item in gateways
+            ):
+                await asyncio.sleep(0.01)
+        deferred = sum(
+            item.board.counters['feed_pages_deferred'] for item in gateways
+        )
+        assert deferred > 0
