Date a copy by the store's last response, not by an open read

Gateways that were not cut off sent requests to a former service up to 0.4 s after the bound of 2 s, once both readers of the store had been cut off in silence. A reader stated the age 0 as long as its read waited, 1.6 s at most; the others began to read by themselves only 2.9 s after the cut.

Ruled out: a late own read of the others (it does not wait), and statements that are kept although a newer one is older (they date the same knowledge).

A waiting read now shows that a copy is current up to the time at which the store last responded to any request of the process.

--- a/packages/core/src/dragonflyslip_core/feeds.py
+++ b/packages/core/src/dragonflyslip_core/feeds.py
@@ -57,9 +57,11 @@
     """A page that was read from the log itself.
 
     :param log_end: offset after the last record of the log when it responded.
+    :param answered_at: when its response began to arrive, monotonic seconds.
     """
 
     log_end: int = 0
+    answered_at: float = float('-inf')
 
     @property
     def is_current(self) -> bool:
--- a/packages/entry/src/dragonflyslip_entry/gateway/adapters.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/adapters.py
@@ -135,8 +135,13 @@
     """Client of a platform's store, which holds keyed logs, called feeds.
 
     A failed read may be retried.
+
+    :ivar heard_at: loop time at which the store last began to respond to a
+        request for records or with the offset of a record.
     """
 
+    heard_at: float
+
     async def newest(
         self, feed: str
     ) -> result.Result[feeds.ReadPage, core_errors.CoreError]:
--- a/packages/entry/src/dragonflyslip_entry/gateway/feeds.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/feeds.py
@@ -16,6 +16,7 @@
 from dragonflyslip_core import feeds
 from dragonflyslip_core import membership
 from dragonflyslip_core import providers as provider_types
+from dragonflyslip_core import waiting_reads
 from dragonflyslip_entry import flag_settings
 from dragonflyslip_entry.gateway import adapters
 from dragonflyslip_entry.gateway import board as board_types
@@ -28,6 +29,8 @@
 # response may be lost, so the wait and the timeout of the read stay below the
 # 2 s within which a change must be in force.
 READ_WAIT_S = 1.2
+# Shortest long-poll time that spreads the responses to the reads of all feeds.
+MIN_READ_WAIT_S = 0.3
 # A copy that was read this recently is not read again, so that providers can
 # confirm it. It still counts as fresh for those that copy from this gateway.
 REREAD_DELAY_S = 0.5
@@ -49,15 +52,17 @@
 class _Feed:
     """The copy of one feed and the state of its reads.
 
-    :param read_at: when this gateway's last read ended that reached the end
-        of the log.
-    :param reading: whether its last read succeeded and the next one has
-        begun, so that the copy counts as current.
+    :param read_at: when the store last responded to a read whose page reached
+        the end of the log.
+    :param reading: whether the last read succeeded, so that the next one may
+        wait for a change.
+    :param wait: the read that waits for a change now, if any.
     """
 
     copy: feeds.FeedCopy = dataclasses.field(default_factory=feeds.FeedCopy)
     read_at: float = float('-inf')
     reading: bool = False
+    wait: waiting_reads.WaitingRead | None = None
 
 
 class FeedController:
@@ -165,7 +170,7 @@
         self.registered = True
         self.read_decision = provider_types.ReadDecision()
         self.relay.follow(older)
-        self.feeds[self.entries_feed].read_at = now
+        self.feeds[self.entries_feed].read_at = page.answered_at
         self._apply_page(self.entries_feed, page)
         self._update(now)
 
@@ -251,8 +256,12 @@
         """Return the seconds since each feed's copy was current."""
         ages = {}
         for name, feed in self.feeds.items():
-            own = 0.0 if feed.reading else now - feed.read_at
-            ages[name] = min(own, self.relay.age_s(name, now))
+            current_at = feed.read_at
+            if feed.wait is not None:
+                current_at = feed.wait.current_at(
+                    feed.read_at, self.log.heard_at, now
+                )
+            ages[name] = min(now - current_at, self.relay.age_s(name, now))
         return ages
 
     async def _read_feed(self, name: str) -> None:
@@ -268,14 +277,13 @@
                 await asyncio.sleep(pause_s)
                 continue
             self.board.count('feed_reads')
-            wait_s = self._choose_wait_s(feed)
-            match await self._read_once(name, wait_s):
+            wait_s = self._choose_wait_s(feed, begun_at)
+            match await self._read_once(name, begun_at, wait_s):
                 case result.Success(page):
                     failures = 0
-                    read_at = self.loop.time()
-                    is_early = read_at - begun_at < wait_s / 2
+                    is_early = page.answered_at - begun_at < wait_s / 2
                     await asyncio.sleep(
-                        self._handle_read(name, page, read_at, is_early)
+                        self._handle_read(name, page, is_early)
                     )
                 case result.Failure(error):
                     feed.reading = False
@@ -287,26 +295,40 @@
                     if failures > 1:
                         await asyncio.sleep(self._retry_delay_s())
 
-    def _choose_wait_s(self, feed: _Feed) -> float:
+    def _choose_wait_s(self, feed: _Feed, now: float) -> float:
         """Return how long the next read of a feed waits for a change."""
         # The first read does not wait: its response makes the copy current
         # for this gateway and those that copy from it.
         if feed.copy.through is None or not feed.reading:
             return 0.0
-        return READ_WAIT_S
+        return waiting_reads.choose_wait_s(
+            now,
+            [
+                other.wait.due_at
+                for other in self.feeds.values()
+                if other.wait is not None
+            ],
+            MIN_READ_WAIT_S,
+            READ_WAIT_S,
+        )
 
     async def _read_once(
-        self, name: str, wait_s: float
+        self, name: str, now: float, wait_s: float
     ) -> result.Result[feeds.ReadPage, core_errors.CoreError]:
         feed = self.feeds[name]
         if feed.copy.through is None:
             return await self.log.newest(name)
-        return await self.log.read(
-            name, feed.copy.through, wait_s, feed.copy.value_bytes
-        )
+        if wait_s > 0:
+            feed.wait = waiting_reads.WaitingRead(now, now + wait_s)
+        try:
+            return await self.log.read(
+                name, feed.copy.through, wait_s, feed.copy.value_bytes
+            )
+        finally:
+            feed.wait = None
 
     def _handle_read(
-        self, name: str, page: feeds.ReadPage, now: float, is_early: bool
+        self, name: str, page: feeds.ReadPage, is_early: bool
     ) -> float:
         """Apply a page of the store and return the pause before the next read.
 
@@ -316,10 +338,12 @@
         feed = self.feeds[name]
         self.relay.unreadable.discard(name)
         if page.is_current:
-            feed.read_at = now
+            feed.read_at = max(feed.read_at, page.answered_at)
         feed.reading = page.is_current and (self._alone or not page.complete)
         self.sink.source_regained(name)
-        self._apply_page(name, page)
+        if not self._apply_page(name, page):
+            # Subscribers learn that their copies are current.
+            self.relay.announce()
         if page.records:
             return READ_PAUSE_S if page.is_current else 0.0
         if page.is_current and not is_early:
@@ -343,8 +367,11 @@
             return random.uniform(FOLLOWER_RETRY_MIN_S, FOLLOWER_RETRY_MAX_S)
         return random.uniform(RETRY_MIN_S, RETRY_MAX_S)
 
-    def _apply_page(self, name: str, page: feeds.FeedPage) -> None:
-        """Apply a page that was read from the log or copied."""
+    def _apply_page(self, name: str, page: feeds.FeedPage) -> bool:
+        """Apply a page that was read from the log or copied.
+
+        :return: whether the copy now reaches further.
+        """
         feed = self.feeds[name]
         before = feed.copy.through
         changes = feed.copy.apply(page)
@@ -352,8 +379,10 @@
             if self._ages(self.loop.time())[name] <= SOURCE_LOST_AGE_S:
                 self.sink.source_regained(name)
             self._apply_changes(name, changes)
-        if feed.copy.through != before:
-            self.relay.announce()
+        if feed.copy.through == before:
+            return False
+        self.relay.announce()
+        return True
 
     def _apply_changes(self, name: str, changes: feeds.FeedPage) -> None:
         try:
--- a/tests/adapter/test_relays.py
+++ b/tests/adapter/test_relays.py
@@ -9,6 +9,7 @@
 from dragonflyslip_emulator import store as store_types
 from dragonflyslip_entry.gateway import feeds
 from dragonflyslip_entry.gateway import relay
+from dragonflyslip_testing import relay as network
 
 # A change must be in force at all gateways this long after it was accepted.
 IN_FORCE_S = 2.0
@@ -18,12 +19,19 @@
 ENTRIES_TOPIC = 'keyed.dragonflyslip'
 
 
-async def _start(platform, count: int) -> list:
+async def _start(platform, count: int, store_urls: list[str] = ()) -> list:
+    """Start gateways and wait until they copy from each other.
+
+    :param store_urls: for the first gateways, URLs that replace the store's.
+    """
     await platform.add_target()
     await platform.publish()
+    urls = [*store_urls, *[platform.store.url] * (count - len(store_urls))]
     gateways = [
-        await platform.add_gateway(failure_domain=f'zone-{"abc"[n % 3]}')
-        for n in range(count)
+        await platform.add_gateway(
+            failure_domain=f'zone-{"abc"[n % 3]}', store_url=url
+        )
+        for n, url in enumerate(urls)
     ]
     await platform.until(
         lambda: all(
@@ -122,6 +130,36 @@
         left = [g for n, g in enumerate(gateways) if n not in cut]
         await _wait_until_in_force(platform, left)
 
+    @pytest.mark.parametrize('count', [4, 9])
+    async def test_change_is_in_force_though_readers_are_cut_in_silence(
+        self, platform, count
+    ):
+        # Guards against gateways that count as current while their waiting
+        # reads have not failed yet: the others then keep copying from them.
+        link = network.Relay(int(platform.store.url.rpartition(':')[2]))
+        server = await link.listen(0)
+        url = f'http://127.0.0.1:{server.sockets[0].getsockname()[1]}'
+        gateways = await _start(platform, count, store_urls=[url, url])
+        readers, others = gateways[:2], gateways[2:]
+        # A change of each feed begins new waiting reads at the same time.
+        await platform.add_target()
+        await platform.store.put(ENTRIES_TOPIC, 'ended', _ended_gateway(1))
+        await platform.publish()
+        await platform.until(
+            lambda: all(
+                item.board.manifest.version == platform.version
+                for item in gateways
+            )
+        )
+        await asyncio.sleep(0.1)
+        link.drops_requests = link.drops_responses = True
+        await _wait_until_in_force(platform, others)
+        assert {item.board.manifest.version for item in readers} == {
+            platform.version - 1
+        }
+        server.close()
+        link.close()
+
     async def test_gateway_cut_from_all_others_reads_the_store(self, platform):
         gateways = await _start(platform, 4)
         last = gateways[3]
