--- a/tests/adapter/test_relays.py
+++ b/tests/adapter/test_relays.py
@@ -80,6 +80,34 @@
     silenced._accept_subscriber = lambda link, message: None
 
 
+@contextlib.asynccontextmanager
+async def _silent_readers(platform, count: int):
+    """Start gateways whose two readers of the store are then cut off from it.
+
+    Yields the readers and the other gateways.
+    """
+    link = network.Relay(int(platform.store.url.rpartition(':')[2]))
+    server = await link.listen(0)
+    url = f'http://127.0.0.1:{server.sockets[0].getsockname()[1]}'
+    gateways = await _start(platform, count, store_urls=[url, url])
+    # A change of each feed begins new waiting reads at the same time.
+    await platform.add_target()
+    await platform.store.put(ENTRIES_TOPIC, 'ended', _ended_gateway(1))
+    await platform.publish()
+    await platform.until(
+        lambda: all(
+            item.board.manifest.version == platform.version
+            and len(item.board.directory.targets) == len(platform.targets)
+            for item in gateways
+        )
+    )
+    await asyncio.sleep(0.1)
+    link.drops_requests = link.drops_responses = True
+    yield gateways[:2], gateways[2:]
+    server.close()
+    link.close()
+
+
 class TestReaders:
     async def test_only_two_of_five_read_the_store(self, platform):
         # Guards against a read load on the store that grows with the number
@@ -136,29 +164,26 @@
     ):
         # Guards against gateways that count as current while their waiting
         # reads have not failed yet: the others then keep copying from them.
-        link = network.Relay(int(platform.store.url.rpartition(':')[2]))
-        server = await link.listen(0)
-        url = f'http://127.0.0.1:{server.sockets[0].getsockname()[1]}'
-        gateways = await _start(platform, count, store_urls=[url, url])
-        readers, others = gateways[:2], gateways[2:]
-        # A change of each feed begins new waiting reads at the same time.
-        await platform.add_target()
-        await platform.store.put(ENTRIES_TOPIC, 'ended', _ended_gateway(1))
-        await platform.publish()
-        await platform.until(
-            lambda: all(
-                item.board.manifest.version == platform.version
-                for item in gateways
-            )
-        )
-        await asyncio.sleep(0.1)
-        link.drops_requests = link.drops_responses = True
-        await _wait_until_in_force(platform, others)
-        assert {item.board.manifest.version for item in readers} == {
-            platform.version - 1
-        }
-        server.close()
-        link.close()
+        async with _silent_readers(platform, count) as (readers, others):
+            await _wait_until_in_force(platform, others)
+            assert {item.board.manifest.version for item in readers} == {
+                platform.version - 1
+            }
+
+    @pytest.mark.parametrize('count', [4, 9])
+    async def test_target_is_removed_though_readers_are_cut_in_silence(
+        self, platform, count
+    ):
+        # Guards against gateways that take silent readers for an outage of
+        # the store, after which they keep removed targets for 2 s more.
+        async with _silent_readers(platform, count) as (_, others):
+            removed = platform.targets[0].target_id
+            await platform.store.put(store_types.TARGET_TOPIC, removed, b'')
+            async with asyncio.timeout(IN_FORCE_S):
+                while any(
+                    removed in item.board.directory.targets for item in others
+                ):
+                    await asyncio.sleep(0.01)
 
     async def test_gateway_cut_from_all_others_reads_the_store(self, platform):
         gateways = await _start(platform, 4)
