Give pages of the store and requests between gateways modules of their own

store.py and relay.py had grown with the last changes. store_pages.py parses what the store sends; page_pulls.py decides when a gateway asks a provider for a page. The fuzzer also feeds the beginnings of pages. No change of behaviour: the tests of the store, the relays and the parsers pass.

--- a/packages/entry/src/dragonflyslip_entry/gateway/relay.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/relay.py
@@ -11,16 +11,14 @@
 from dragonflyslip_core import feeds
 from dragonflyslip_core import membership
 from dragonflyslip_core import providers as provider_types
-from dragonflyslip_core import transfers
 from dragonflyslip_entry.gateway import board as board_types
+from dragonflyslip_entry.gateway import page_pulls
 from dragonflyslip_entry import logs
 from dragonflyslip_entry import peer_links
 import dragonflyslip_wire as wire
 
 CONNECT_TIMEOUT_S = 0.3
 STATUS_PERIOD_S = 0.3
-# A provider whose page has not begun to arrive by then is not fresh.
-MAX_BEHIND_S = 0.5
 # A page longer than this is sent only while few bytes wait for the network.
 # Subscribers that get none read the store, over links of their own.
 LONG_PAGE_BYTES = 16_384
@@ -75,35 +73,6 @@
         return now - self.confirmed_at.get(name, float('-inf'))
 
 
-class _Pull:
-    """A request for a page of one feed, until the page has arrived.
-
-    :param link: link to the provider that was asked.
-    """
-
-    def __init__(self, link: peer_links.PeerLink, now: float):
-        self.link = link
-        self.deadline = transfers.TransferDeadline(now)
-        self.received_bytes = link.received_bytes
-
-    @property
-    def arrives(self) -> bool:
-        """Whether a part of the page, or of one before it, has arrived."""
-        return self.deadline.body_began_at is not None
-
-    def is_pending(self, now: float) -> bool:
-        """Return whether the page may still arrive."""
-        if not self.link.open:
-            return False
-        count = self.link.received_bytes - self.received_bytes
-        self.received_bytes = self.link.received_bytes
-        if count > 0 and self.link.decoder.has_partial_frame:
-            if not self.arrives:
-                self.deadline.begin_body(now)
-            self.deadline.record_bytes(count, now)
-        return now < self.deadline.at
-
-
 class FeedRelay:
     """Copies feeds from gateways that registered earlier to later ones.
 
@@ -133,10 +102,7 @@
         self._accepted: dict[peer_links.PeerLink, float] = {}
         self._links: dict[membership.EntryId, _ProviderLink] = {}
         self._connecting: set[asyncio.Task[None]] = set()
-        self._pulls: dict[str, _Pull] = {}
-        # Offset that a copy has reached while a provider has more, and since
-        # when it does not reach further.
-        self._behind: dict[str, tuple[int | None, float]] = {}
+        self.pulls = page_pulls.PagePulls(copies)
         # Feeds whose first copy may come from a provider that is not fresh.
         self.unreadable: set[str] = set()
         self._page_frames: dict[tuple[str, int | None], bytes] = {}
@@ -265,12 +231,7 @@
             else provider_types.FRESH_S
         )
         # Its status may be queued behind a long page.
-        is_sending = any(
-            pull.link is provider_link.link
-            and pull.is_pending(now)
-            and pull.arrives
-            for pull in self._pulls.values()
-        )
+        is_sending = self.pulls.is_receiving(provider_link.link, now)
         if not provider_link.link.open or (
             silent_s > limit_s and not is_sending
         ):
@@ -282,7 +243,7 @@
         if provider_link.states:
             fresh = all(
                 provider_link.age_s(name, now) <= provider_types.FRESH_S
-                and not self._is_waiting_in_vain(name, now)
+                and not self.pulls.is_overdue(name, now)
                 for name in self.copies
             )
             self.provider_selector.set_fresh(provider_link.provider, fresh)
@@ -435,7 +396,7 @@
             # a record into force that the store does not hold.
             self.board.count('peer_unasked_pages')
             return
-        self._pulls.pop(message.name, None)
+        self.pulls.end(message.name)
         copy = self.copies.get(message.name)
         if copy is None:
             return
@@ -474,29 +435,13 @@
                 # It may lack the end of a target, a domain or a route that
                 # the store tells a process which starts.
                 continue
-            behind = self._behind.get(name)
-            if behind is None or behind[0] != copy.through:
-                self._behind[name] = copy.through, now
-            pull = self._pulls.get(name)
-            if pull is not None and pull.is_pending(now):
+            if not self.pulls.begin(name, provider_link.link, now):
                 continue
-            self._pulls[name] = _Pull(provider_link.link, now)
             self.board.count('feed_pulls')
             provider_link.link.send(
                 wire.encode_frame(wire.FeedPull(name, copy.through))
             )
 
-    def _is_waiting_in_vain(self, name: str, now: float) -> bool:
-        """Return whether no provider sends a page that it has."""
-        through, since = self._behind.get(name, (None, now))
-        if self.copies[name].through != through:
-            self._behind.pop(name, None)
-            return False
-        if now - since <= MAX_BEHIND_S:
-            return False
-        pull = self._pulls.get(name)
-        return pull is None or not (pull.is_pending(now) and pull.arrives)
-
     def _drop_stale_subscribers(self, now: float) -> None:
         for link, subscribed_at in list(self.subscribers.items()):
             if not link.open or now - subscribed_at > SUBSCRIBER_TIMEOUT_S:
--- a/tests/adapter/test_slow_links.py
+++ b/tests/adapter/test_slow_links.py
@@ -11,6 +11,7 @@
 from dragonflyslip_core import feeds as feed_types
 from dragonflyslip_core import transfers
 from dragonflyslip_emulator import store as store_types
+from dragonflyslip_entry.gateway import page_pulls
 from dragonflyslip_entry.gateway import relay as relay_types
 from dragonflyslip_entry import peer_links
 from dragonflyslip_testing import relay as network
@@ -298,7 +299,7 @@
             _Counters(), lambda _, message: received.append(message)
         )
         link.connection_made(_Transport())
-        pull = relay_types._Pull(link, 0.0)
+        pull = page_pulls.Pull(link, 0.0)
         now, sent = 0.0, 0
         while not received and pull.is_pending(now):
             now += 0.1
--- a/tests/fuzz_parsers.py
+++ b/tests/fuzz_parsers.py
@@ -10,6 +10,7 @@
 
 import argparse
 import collections.abc
+import contextlib
 import dataclasses
 import json
 import random
@@ -19,8 +20,10 @@
 import msgspec
 
 from dragonflyslip_adapter import dialect
+from dragonflyslip_adapter import errors as adapter_errors
 from dragonflyslip_adapter import records
 from dragonflyslip_adapter import store
+from dragonflyslip_adapter import store_pages
 from dragonflyslip_core import feeds as feed_types
 from dragonflyslip_core import membership
 from dragonflyslip_entry import errors
@@ -107,6 +110,13 @@
     return bytes(changed)
 
 
+def _parse_page(data: bytes) -> None:
+    """Parse a page of records, also as the beginning of a longer page."""
+    with contextlib.suppress(adapter_errors.LongPageError):
+        store_pages.UnreadRecords(8, 1_000).check(data, len(data))
+    store_pages.parse_page(store_pages.Response(200, data, 0.0), 8)
+
+
 def _parse_headers(data: bytes) -> None:
     lines = data.decode('latin-1').split('\n')
     headers = dict(zip(_HEADER_NAMES, lines, strict=False))
@@ -191,9 +201,9 @@
         (b'{"depth":1,"entry":"edge-1","at_ms":1500}',),
         (msgspec.DecodeError, RecursionError),
     ),
-    'page': Parser(lambda data: store._parse_page(data, 8), (_PAGE,)),
+    'page': Parser(_parse_page, (_PAGE,)),
     'newest': Parser(
-        lambda data: store._decode(store._NewestPage, data), (_NEWEST,)
+        lambda data: store._decode(store_pages.NewestPage, data), (_NEWEST,)
     ),
     'headers': Parser(
         _parse_headers, (b'id\n500\ni-1\n3,0,8,150\ns\n20\n1.5\n1\n2',)
