End the wait of a read once its response begins to arrive

While a long change arrived over a slow link, responses to the reads of other feeds dated the copy that lacked it. The date is now that of the last response before the read's own one began.

test_copy_is_not_current_while_a_change_arrives failed before (the copy counted as current 0.5 s after the change) and passes.

--- a/packages/entry/src/dragonflyslip_entry/gateway/adapters.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/adapters.py
@@ -1,5 +1,6 @@
 """Interfaces that a platform adapter implements for the gateway."""
 
+import collections.abc
 import dataclasses
 import importlib
 import typing
@@ -153,6 +154,7 @@
         offset: int,
         wait_s: float,
         copy_bytes: int | None = None,
+        on_response: collections.abc.Callable[[], None] | None = None,
     ) -> result.Result[feeds.ReadPage, core_errors.CoreError]:
         """Return the records from an offset on.
 
@@ -164,6 +166,8 @@
         :param wait_s: how long to wait if there are no such records yet.
         :param copy_bytes: length of the newest records that the caller has.
             None reads all records.
+        :param on_response: called once the response begins to arrive, from
+            when on it may hold changes that the caller lacks.
         """
 
     async def append(
--- a/packages/entry/src/dragonflyslip_entry/gateway/feeds.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/feeds.py
@@ -318,14 +318,22 @@
         feed = self.feeds[name]
         if feed.copy.through is None:
             return await self.log.newest(name)
+
+        def end_wait() -> None:
+            feed.wait = None
+
         if wait_s > 0:
             feed.wait = waiting_reads.WaitingRead(now, now + wait_s)
         try:
             return await self.log.read(
-                name, feed.copy.through, wait_s, feed.copy.value_bytes
+                name,
+                feed.copy.through,
+                wait_s,
+                feed.copy.value_bytes,
+                end_wait,
             )
         finally:
-            feed.wait = None
+            end_wait()
 
     def _handle_read(
         self, name: str, page: feeds.ReadPage, is_early: bool
--- a/tests/adapter/test_slow_links.py
+++ b/tests/adapter/test_slow_links.py
@@ -29,6 +29,8 @@
 # A read of a peer that sends without end must end by then.
 MAX_READ_S = 5.0
 GATEWAYS = 4
+# A response that the store sent before a change may arrive so much later.
+ON_THE_WAY_S = 0.1
 # Does not become short when it is packed.
 LONG_VALUE = random.Random(1).randbytes(240_000)
 
@@ -41,8 +43,8 @@
     """
     links = []
 
-    async def start():
-        limit = network.RateLimit(LINK_BYTES_PER_S)
+    async def start(bytes_per_s=LINK_BYTES_PER_S):
+        limit = network.RateLimit(bytes_per_s)
         store_port = int(platform.store.url.rpartition(':')[2])
         link = network.Relay(store_port, limit)
         server = await link.listen(0)
@@ -283,6 +285,32 @@
         return False
 
 
+class TestAges:
+    async def test_copy_is_not_current_while_a_change_arrives(
+        self, platform, slow_link
+    ):
+        # Guards against a reader that is stated as current because the store
+        # responds, although the response holds a change.
+        await platform.add_target()
+        await platform.publish()
+        # Other traffic takes three quarters of the link.
+        url = await slow_link(LINK_BYTES_PER_S / 4)
+        gateway = await platform.add_gateway(store_url=url)
+        loop = asyncio.get_running_loop()
+        stated = []
+        for _ in range(3):
+            await asyncio.sleep(1.0)
+            await _publish_long_manifest(platform, 'casebook')
+            published_at = loop.time()
+            while gateway.board.manifest.version < platform.version:
+                now = loop.time()
+                current_at = now - gateway.feeds._ages(now)['keyed.op']
+                stated.append(current_at - published_at)
+                await asyncio.sleep(0.01)
+        assert len(stated) > 3
+        assert max(stated) <= ON_THE_WAY_S
+
+
 class TestLongPages:
     """Pages that gateways copy from each other."""
 
