--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -41,6 +41,7 @@
 _FAULT_TESTS = 'tests/adapter/test_gateway_faults.py'
 _TOPOLOGY_TESTS = 'tests/adapter/test_topology.py'
 _RELAY_TESTS = 'tests/adapter/test_relays.py'
+_SLOW_LINK_TESTS = 'tests/adapter/test_slow_links.py'
 
 
 class Mutation(typing.NamedTuple):
@@ -820,6 +821,56 @@
         'return result.Failure(errors.StoreError("gone"))',
         f'{_TOPOLOGY_TESTS}::TestOutages',
     ),
+    Mutation(
+        'gateway-fixed-read-time',
+        f'{_CORE}/transfers.py',
+        'self.at = min(now + STALL_TIMEOUT_S, self._latest_at)',
+        'pass',
+        f'{_SLOW_LINK_TESTS}::TestGateways',
+    ),
+    Mutation(
+        'gateway-endless-read-time',
+        f'{_CORE}/transfers.py',
+        'self.at = min(now + STALL_TIMEOUT_S, self._latest_at)',
+        'self.at = now + STALL_TIMEOUT_S',
+        f'{_SLOW_LINK_TESTS}::TestStoreReads',
+    ),
+    Mutation(
+        'gateway-dropped-records',
+        f'{_ADAPTER}/store.py',
+        'case result.Success(page) if page.records:',
+        'case result.Success(page) if False:',
+        f'{_SLOW_LINK_TESTS}::TestStoreReads',
+    ),
+    Mutation(
+        'gateway-all-versions',
+        f'{_CORE}/feeds.py',
+        'return unread_bytes > _SNAPSHOT_EXPANSION * copy_bytes',
+        'return False and unread_bytes > _SNAPSHOT_EXPANSION * copy_bytes',
+        f'{_SLOW_LINK_TESTS}::TestStoreReads',
+    ),
+    Mutation(
+        'gateway-repeated-pulls',
+        f'{_GATEWAY}/page_pulls.py',
+        'return now < self.deadline.at',
+        'return False',
+        f'{_SLOW_LINK_TESTS}::TestLongPages',
+    ),
+    Mutation(
+        'gateway-silent-reader',
+        f'{_CORE}/waiting_reads.py',
+        'if heard_at < self.begun_at:\n            return read_at',
+        'if heard_at < self.begun_at and now <= self.due_at + 0.4:\n'
+        '            return now',
+        f'{_RELAY_TESTS}::TestProviderFaults',
+    ),
+    Mutation(
+        'gateway-arriving-change',
+        f'{_ADAPTER}/store_connections.py',
+        'self.on_response()',
+        'pass',
+        f'{_SLOW_LINK_TESTS}::TestAges',
+    ),
     Mutation(
         'gateway-long-wait',
         f'{_GATEWAY}/feeds.py',
