--- a/tests/adapter/test_emulator.py
+++ b/tests/adapter/test_emulator.py
@@ -7,6 +7,7 @@
 import aiohttp
 import pytest
 
+import dragonflyslip_emulator
 from dragonflyslip_emulator import __main__ as program
 from tests.adapter import processes
 
@@ -60,3 +61,16 @@
             program.main(['--service', service])
         assert stopped.value.code == 2
         assert '--service' in capsys.readouterr().err
+
+
+class TestRestore:
+    async def test_store_comes_back_as_it_was_before(self):
+        store = dragonflyslip_emulator.EmulatedStore()
+        await store.put('topic', 'a', b'1')
+        await asyncio.sleep(0.1)
+        await store.put('topic', 'a', b'2')
+        await store.put('topic', 'b', b'3')
+        await store.restore(0.05)
+        assert store.topics['topic'].newest == {'a': (0, b'1')}
+        assert store.era == 1
+        assert await store.put('topic', 'b', b'4') == 1
