Hold targets and domains that the copy of a new era lacks

A store that comes back from an older copy has lost its latest records. A target that registered after the copy would be dropped at once, although it runs, and a failure domain that operators took out would be back in service.

EraHolds keeps the keys that the first complete list of a new era lacks: targets for the 2 s of REMOVAL_GRACE_S unless they drain, domains for 30 s, until a record about them appears. A lost target may repeat its last registration; older ones are refused as before, and a removal in the new era takes effect at once. Without an era, nothing changes.

packages/core/tests/test_directory.py passes (24 tests); its new tests fail on the code before, which has no eras. The test of a removal in the new era first failed on this code: the loss had made the last registration acceptable, so that the copy of a later era brought the target back.

--- a/packages/core/src/dragonflyslip_core/__init__.py
+++ b/packages/core/src/dragonflyslip_core/__init__.py
@@ -106,6 +106,7 @@
         'spare_capacity',
         'utilisation',
     ),
+    'era_holds': ('EraHolds',),
     'errors': (
         'CoreError',
         'HeaderError',
--- a/packages/core/src/dragonflyslip_core/directory.py
+++ b/packages/core/src/dragonflyslip_core/directory.py
@@ -9,10 +9,16 @@
 import collections.abc
 import dataclasses
 
+from dragonflyslip_core import era_holds
+
 # Registrations may expire during an outage of the registry, which stores
-# them. A target that is still running registers again within this time after
-# the registry is back.
+# them, or be lost if it comes back from an older copy. A target that is still
+# running registers again within this time after the registry is back.
 REMOVAL_GRACE_S = 2.0
+# A failure domain that was out of service stays out for this time although
+# the records of a new era do not say so, unless one about it appears. The
+# operator may not have written it again yet.
+DOMAIN_HOLD_S = 30.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -85,6 +91,11 @@
         # Start times (Unix ms) of the processes that said they are leaving.
         self._leaving: dict[str, int] = {}
         self._grace_until = float('-inf')
+        # Targets that the first list of a new era lacked. They may register
+        # with their last registration again, also once they were removed.
+        self._lost: set[str] = set()
+        self._held_targets = era_holds.EraHolds[str](REMOVAL_GRACE_S)
+        self._held_domains = era_holds.EraHolds[str](DOMAIN_HOLD_S)
         self._by_service: dict[str, list[RegisteredTarget]] = {}
         self._indexed_generation = -1
 
@@ -104,8 +115,11 @@
         target_id = registration.target_id
         last = self._last_accepted.get(target_id)
         if last is not None and registration.recency_key <= last:
-            return False
+            is_repeated = registration.recency_key == last
+            if target_id not in self._lost or not is_repeated:
+                return False
         self._last_accepted[target_id] = registration.recency_key
+        self._end_loss(target_id)
         if last is not None and registration.started_at_ms > last[0]:
             self.on_restart(target_id, last[0])
         known = self.targets.get(target_id)
@@ -125,6 +139,7 @@
 
         :return: whether the target was known.
         """
+        self._end_loss(target_id)
         target = self.targets.get(target_id)
         if target is None:
             return False
@@ -137,25 +152,80 @@
         return True
 
     def replace(
-        self, registrations: list[Registration], now: float
+        self, registrations: list[Registration], now: float, era: int = 0
     ) -> list[str]:
         """Replace all registrations by a complete list.
 
+        A target that the first list of a new era lacks is removed only after
+        ``REMOVAL_GRACE_S``, unless it is draining.
+
+        :param era: era of the list, see :class:`feeds.Position`.
         :return: ids of the known targets that are not in the list.
         """
         listed = {item.target_id for item in registrations}
         for registration in registrations:
             self.register(registration, now)
         gone = [known for known in self.targets if known not in listed]
+        lost = [
+            target_id
+            for target_id in gone
+            if not self.targets[target_id].registration.draining
+        ]
+        if self._held_targets.apply_page(lost, listed, era, now):
+            self._lost.update(lost)
         for target_id in gone:
-            self.remove(target_id, now)
+            if target_id not in self._held_targets:
+                self.remove(target_id, now)
         return gone
 
+    def _end_loss(self, target_id: str) -> None:
+        """Record that a target has registered again or was removed."""
+        self._lost.discard(target_id)
+        self._held_targets.release(target_id)
+
     def set_domain_out(self, domain: str, out: bool) -> bool:
         """Take a failure domain out of service or put it back.
 
         :return: whether this changed its state.
         """
+        self._held_domains.release(domain)
+        return self._set_domain_out(domain, out)
+
+    def list_domains_out(
+        self, domains: frozenset[str], now: float, era: int = 0
+    ) -> list[str]:
+        """Apply a complete list of the failure domains out of service.
+
+        A domain that the first list of a new era lacks stays out for
+        ``DOMAIN_HOLD_S``, unless :meth:`set_domain_out` says otherwise.
+
+        :param era: era of the list, see :class:`feeds.Position`.
+        :return: domains whose state has changed.
+        """
+        self._held_domains.apply_page(self.domains_out, domains, era, now)
+        known = sorted(self.domains_out | domains)
+        return [
+            domain
+            for domain in known
+            if self._set_domain_out(
+                domain, domain in domains or domain in self._held_domains
+            )
+        ]
+
+    @property
+    def held_domains(self) -> list[str]:
+        """The domains that are out only because of a new era."""
+        return sorted(self._held_domains)
+
+    def expire_domains(self, now: float) -> list[str]:
+        """Put domains back that were held long enough; return them."""
+        return [
+            domain
+            for domain in self._held_domains.expire(now)
+            if self._set_domain_out(domain, False)
+        ]
+
+    def _set_domain_out(self, domain: str, out: bool) -> bool:
         if (domain in self.domains_out) is out:
             return False
         if out:
@@ -187,13 +257,16 @@
 
     def expire(self, now: float) -> list[str]:
         """Remove targets whose delayed removal is due; return their ids."""
-        gone = [
+        gone = self._held_targets.expire(now) + [
             target_id
             for target_id, target in self.targets.items()
             if target.remove_at is not None and now >= target.remove_at
         ]
-        for target_id in gone:
-            del self.targets[target_id]
+        gone = [
+            target_id
+            for target_id in gone
+            if self.targets.pop(target_id, None)
+        ]
         self.generation += bool(gone)
         return gone
 
--- a/packages/core/tests/test_directory.py
+++ b/packages/core/tests/test_directory.py
@@ -109,6 +109,89 @@
         assert list(known.targets) == ['t2']
 
 
+class TestEras:
+    """Complete lists of a registry that came back from an older copy."""
+
+    LATER = 10.0 + directory.REMOVAL_GRACE_S
+
+    def _known(self, **fields) -> directory.Directory:
+        known = directory.Directory()
+        known.replace([_registered(**fields)], 0.0, era=0)
+        return known
+
+    def test_lost_target_has_time_to_register_again(self):
+        # Guards against the loss of live targets whose registration was
+        # written after the copy.
+        known = self._known()
+        for now in (10.0, 10.1):
+            # Another provider may send the same list once more.
+            assert known.replace([], now, era=1) == ['t1']
+            assert known.usable_targets('casebook')
+        assert known.expire(self.LATER - 0.01) == []
+        assert known.expire(self.LATER) == ['t1']
+        assert known.usable_targets('casebook') == []
+
+    @pytest.mark.parametrize('now', [11.0, 20.0])
+    def test_lost_target_may_register_with_its_last_report(self, now):
+        known = self._known()
+        known.replace([], 10.0, era=1)
+        known.expire(now)
+        known.register(_registered(sequence=9), now)
+        assert ('t1' in known.targets) is (now < self.LATER)
+        known.register(BASE, now)
+        assert known.expire(30.0) == []
+        assert known.usable_targets('casebook')
+
+    def test_draining_target_gets_no_time(self):
+        known = self._known(draining=True)
+        known.replace([], 10.0, era=1)
+        assert known.targets == {}
+
+    @pytest.mark.parametrize('removed_at', [10.1, 13.0])
+    def test_removal_in_the_new_era_takes_effect_at_once(self, removed_at):
+        # Guards against a target that stays in use for the grace period
+        # although it was removed after the change.
+        known = self._known()
+        known.replace([], 10.0, era=1)
+        known.expire(removed_at)
+        known.remove('t1', removed_at)
+        assert known.targets == {}
+        # The next copy is from before the removal.
+        known.replace([BASE], 14.0, era=2)
+        assert known.targets == {}
+
+    def test_removed_or_draining_target_is_not_brought_back(self):
+        known = self._known()
+        known.register(_registered(sequence=11, draining=True), 1.0)
+        known.replace([BASE], 10.0, era=1)
+        assert known.usable_targets('casebook') == []
+        known.remove('t1', 11.0)
+        known.replace([_registered(sequence=11)], 12.0, era=2)
+        assert known.targets == {}
+
+    def test_domain_stays_out_for_a_time(self):
+        known = self._known()
+        known.list_domains_out(frozenset('a'), 1.0, era=0)
+        assert known.list_domains_out(frozenset(), 10.0, era=1) == []
+        assert known.list_domains_out(frozenset(), 20.0, era=1) == []
+        assert known.usable_targets('casebook') == []
+        held_until = 10.0 + directory.DOMAIN_HOLD_S
+        assert known.expire_domains(held_until - 0.01) == []
+        assert known.expire_domains(held_until) == ['a']
+        assert known.usable_targets('casebook')
+
+    @pytest.mark.parametrize('out', [True, False])
+    def test_record_of_a_domain_ends_its_hold(self, out):
+        known = self._known()
+        known.list_domains_out(frozenset('a'), 1.0, era=0)
+        known.list_domains_out(frozenset(), 10.0, era=1)
+        assert known.set_domain_out('a', out) is not out
+        assert known.expire_domains(50.0) == []
+        assert known.is_usable('t1', 'casebook') is not out
+        known.list_domains_out(frozenset(), 51.0, era=1)
+        assert known.is_usable('t1', 'casebook')
+
+
 class TestUsable:
     def test_domain_out_of_service_is_unused_until_it_is_back(self):
         known = directory.Directory()
