--- a/bench/relays.py
+++ b/bench/relays.py
@@ -21,10 +21,14 @@
 
 def _feed_page(targets: int) -> feeds.FeedPage:
     records = tuple(
-        feeds.FeedRecord(f'i-{n:010x}', RECORD.format(n=n).encode(), n)
+        feeds.FeedRecord(
+            f'i-{n:010x}', RECORD.format(n=n).encode(), feeds.Position(0, n)
+        )
         for n in range(targets)
     )
-    return feeds.FeedPage(records, 0, targets, True)
+    return feeds.FeedPage(
+        records, feeds.START, feeds.Position(0, targets), True
+    )
 
 
 def _measure(message: wire.Message) -> tuple[int, float, float]:
@@ -49,12 +53,12 @@
 def main() -> None:
     """Print the table."""
     states = (
-        wire.FeedState('keyed.op', 40, 0.1),
-        wire.FeedState('keyed.servers', 900, 0.1),
+        wire.FeedState('keyed.op', feeds.Position(0, 40), 0.1),
+        wire.FeedState('keyed.servers', feeds.Position(0, 900), 0.1),
     )
     messages: dict[str, wire.Message] = {
         'status': wire.FeedStatus(states, 119),
-        'pull': wire.FeedPull('keyed.servers', 900),
+        'pull': wire.FeedPull('keyed.servers', feeds.Position(0, 900)),
         'page of 1 target': wire.FeedPush('keyed.servers', _feed_page(1)),
     }
     for targets in (40, 400, 4_000, 10_000):
--- a/packages/core/src/dragonflyslip_core/providers.py
+++ b/packages/core/src/dragonflyslip_core/providers.py
@@ -11,6 +11,7 @@
 import dataclasses
 import typing
 
+from dragonflyslip_core import feeds
 from dragonflyslip_core import membership
 
 # Number of entries that one entry copies from.
@@ -49,15 +50,15 @@
 
     :param host: IP address where it accepts connections of other entries.
     :param port: port where it accepts connections of other entries.
-    :param registration_offset: offset of its registration in the log; the
-        oldest entry has the lowest.
+    :param registered_at: position of its registration in the log; the oldest
+        entry has the lowest.
     """
 
     entry_id: membership.EntryId
     failure_domain: str
     host: str
     port: int
-    registration_offset: int
+    registered_at: feeds.Position
 
 
 @dataclasses.dataclass
@@ -116,7 +117,7 @@
 
     def _recent_providers(self) -> list[Provider]:
         newest_first = sorted(
-            self.order, key=lambda item: -item.registration_offset
+            self.order, key=lambda item: item.registered_at, reverse=True
         )
         return [
             newest_first[distance - 1]
@@ -135,20 +136,42 @@
         """
         return sum(not self._has_failed(item) for item in self.order)
 
-    def registration_ended(self, name: str, before: int) -> list[Provider]:
+    def follow(self, providers: typing.Iterable[Provider]) -> list[Provider]:
+        """Replace the providers; connections to those that stay are kept.
+
+        The order of registrations changes when the log comes back from an
+        older copy, and the entries that it lost register again.
+
+        :return: providers that were dropped.
+        """
+        before = self.order
+        self.order = _alternate_domains(providers)
+        kept = {item.entry_id for item in self.order}
+        dropped = [item for item in before if item.entry_id not in kept]
+        for provider in dropped:
+            self.disconnected(provider)
+        return dropped
+
+    def contains(self, entry_id: membership.EntryId) -> bool:
+        """Return whether an entry is a provider."""
+        return any(item.entry_id == entry_id for item in self.order)
+
+    def registration_ended(
+        self, name: str, before: feeds.Position
+    ) -> list[Provider]:
         """Drop providers whose registration was replaced or removed.
 
         Without this, an entry would search live providers among the records
         of processes that have ended.
 
         :param name: name of the entry.
-        :param before: offset of the record that ended its registration.
+        :param before: position of the record that ended its registration.
         :return: the dropped providers.
         """
         ended = [
             item
             for item in self.order
-            if item.entry_id.name == name and item.registration_offset < before
+            if item.entry_id.name == name and item.registered_at < before
         ]
         for provider in ended:
             self.replaced(provider)
@@ -193,7 +216,9 @@
     def replaced(self, provider: Provider) -> None:
         """Drop a provider at whose address another, newer process answered."""
         self._connections.pop(provider.entry_id, None)
-        self.order = [item for item in self.order if item is not provider]
+        self.order = [
+            item for item in self.order if item.entry_id != provider.entry_id
+        ]
 
     def set_fresh(self, provider: Provider, fresh: bool) -> None:
         """Record whether a connected provider's copy is up to date."""
@@ -296,13 +321,12 @@
 def _alternate_domains(providers: typing.Iterable[Provider]) -> list[Provider]:
     ranks: collections.Counter[str] = collections.Counter()
     ranked = []
-    for provider in sorted(
-        providers, key=lambda item: item.registration_offset
-    ):
+    for provider in sorted(providers, key=lambda item: item.registered_at):
         rank = ranks[provider.failure_domain]
-        ranked.append((rank, provider.registration_offset, provider))
+        ranked.append((rank, provider.registered_at, provider))
         ranks[provider.failure_domain] += 1
-    return [provider for *_, provider in sorted(ranked)]
+    ranked.sort(key=lambda item: item[:2])
+    return [provider for *_, provider in ranked]
 
 
 def _since(since: float | None, holds: bool, now: float) -> float | None:
--- a/packages/core/src/dragonflyslip_core/waiting_reads.py
+++ b/packages/core/src/dragonflyslip_core/waiting_reads.py
@@ -20,20 +20,27 @@
 
     :param begun_at: when it was sent.
     :param due_at: when the log responds if there is no change.
+    :param era: era of the position from which it reads.
     """
 
     begun_at: float
     due_at: float
+    era: int = 0
 
-    def current_at(self, read_at: float, heard_at: float, now: float) -> float:
+    def current_at(
+        self, read_at: float, heard_at: float, now: float, era: int = 0
+    ) -> float:
         """Return when the copy was last known to equal the log.
 
         :param read_at: when the last read showed this.
         :param heard_at: when the log last responded to any request. A change
             before then would have ended this read. Not so once the response
             is overdue, since it may be lost.
+        :param era: newest known era of the log. If it is another one than
+            that of this read, the log has come back from an older copy and
+            may not have ended this read.
         """
-        if heard_at < self.begun_at:
+        if heard_at < self.begun_at or era != self.era:
             return read_at
         if now > self.due_at + transfers.RESPONSE_TIMEOUT_S:
             return read_at
--- a/packages/core/tests/test_feeds.py
+++ b/packages/core/tests/test_feeds.py
@@ -7,13 +7,27 @@
 from dragonflyslip_core import feeds
 
 
-def _record(offset: int, key: str = 'a', value: bytes | None = b'v'):
-    return feeds.FeedRecord(key, value, offset)
-
-
-def _page(start: int, *records: feeds.FeedRecord, complete: bool = False):
-    through = max((item.offset + 1 for item in records), default=start)
-    return feeds.FeedPage(records, start, through, complete)
+def _record(
+    offset: int, key: str = 'a', value: bytes | None = b'v', era: int = 0
+):
+    return feeds.FeedRecord(key, value, feeds.Position(era, offset))
+
+
+def _page(
+    start: int,
+    *records: feeds.FeedRecord,
+    complete: bool = False,
+    era: int = 0,
+):
+    through = max(
+        (item.position.offset + 1 for item in records), default=start
+    )
+    return feeds.FeedPage(
+        records,
+        feeds.Position(era, start),
+        feeds.Position(era, through),
+        complete,
+    )
 
 
 class TestFeedCopy:
@@ -22,7 +36,7 @@
         copy = feeds.FeedCopy()
         copy.apply(_page(0, _record(0), complete=True))
         assert copy.apply(_page(5, _record(5, 'b'))) is None
-        assert copy.through == 1
+        assert copy.through == feeds.Position(0, 1)
 
     def test_older_snapshot_does_not_revert_the_copy(self):
         # Guards against a return to an old manifest when a provider lags.
@@ -52,7 +66,9 @@
         copy = feeds.FeedCopy()
         copy.apply(_page(0, _record(0), complete=True))
         copy.apply(_page(1, _record(1, 'b', None), _record(2, 'a', b'w')))
-        page = copy.changes_since(start)
+        page = copy.changes_since(
+            None if start is None else feeds.Position(0, start)
+        )
         assert page.complete is complete
         assert [record.key for record in page.records] == keys
 
@@ -82,20 +98,20 @@
     def test_chain_of_followers_converges_to_the_log(self, log, steps):
         # Guards against copies that differ depending on their provider.
         copies = [feeds.FeedCopy() for _ in range(3)]
-        copies[0].apply(feeds.FeedPage((), 0, 0, True))
+        copies[0].apply(feeds.FeedPage((), feeds.START, feeds.START, True))
         records = [
-            feeds.FeedRecord(key, value, offset)
+            _record(offset, key, value)
             for offset, (key, value) in enumerate(log)
         ]
         for step in [*steps, 0, 1, 2]:
             if step == 0:
-                read = copies[0].through
+                read = copies[0].through.offset
                 copies[0].apply(_page(read, *records[read : read + 3]))
             else:
                 page = copies[step - 1].changes_since(copies[step].through)
                 if page is not None:
                     copies[step].apply(page)
-        read = copies[0].through
+        read = copies[0].through.offset
         copies[0].apply(_page(read, *records[read:]))
         for step in (1, 2):
             copies[step].apply(
@@ -108,14 +124,63 @@
         for copy in copies:
             page = copy.changes_since(None)
             assert {item.key: item.value for item in page.records} == live
-            assert copy.through == len(records)
+            assert copy.through == feeds.Position(0, len(records))
+
+
+class TestEras:
+    """Guards against offsets of different eras that are compared."""
+
+    def _copy(self, offset: int, era: int) -> feeds.FeedCopy:
+        copy = feeds.FeedCopy()
+        copy.apply(_page(0, _record(offset, era=era), complete=True, era=era))
+        return copy
+
+    def test_page_of_a_newer_era_replaces_the_copy(self):
+        copy = self._copy(9, era=1)
+        newer = _page(0, _record(2, 'b', era=2), complete=True, era=2)
+        assert copy.apply(newer) is newer
+        assert copy.through == feeds.Position(2, 3)
+        assert (copy.get('a'), copy.get('b')) == (None, newer.records[0])
+
+    @pytest.mark.parametrize('complete', [True, False])
+    @pytest.mark.parametrize('era', [1, 3])
+    def test_only_a_complete_page_changes_the_era(self, era, complete):
+        copy = self._copy(2, era=2)
+        page = _page(0, _record(9, era=era), complete=complete, era=era)
+        is_applied = copy.apply(page) is not None
+        assert is_applied is (era == 3 and complete)
+
+    def test_follower_of_an_older_era_gets_everything(self):
+        # Guards against a domain that a follower keeps out of service since
+        # its complete page does not say that the record was deleted.
+        copy = self._copy(2, era=2)
+        copy.apply(_page(3, _record(3, 'b', None, era=2), era=2))
+        page = copy.changes_since(feeds.Position(1, 50))
+        assert page.complete
+        assert [(r.key, r.value) for r in page.records] == [
+            ('a', b'v'),
+            ('b', None),
+        ]
+        assert [r.key for r in copy.changes_since(None).records] == ['a']
+        assert copy.changes_since(feeds.Position(3, 0)) is None
+
+    def test_forgotten_deletions_of_a_copied_page_hide_no_later_ones(
+        self, monkeypatch
+    ):
+        monkeypatch.setattr(feeds, 'MAX_DELETED_KEYS', 2)
+        copy = self._copy(0, era=0)
+        deleted = [_record(n, f'gone{n}', None, era=1) for n in range(4)]
+        copy.apply(_page(0, *deleted, _record(9, era=1), complete=True, era=1))
+        copy.apply(_page(10, _record(10, 'b', era=1), era=1))
+        assert copy.changes_since(feeds.Position(1, 5)).complete
 
 
 class TestReadPage:
     def test_page_before_the_end_of_the_log_is_not_current(self):
-        page = feeds.ReadPage((), 3, 5, log_end=6)
+        start, end = feeds.Position(1, 3), feeds.Position(1, 6)
+        page = feeds.ReadPage((), start, feeds.Position(1, 5), log_end=end)
         assert not page.is_current
-        assert feeds.ReadPage((), 3, 6, log_end=6).is_current
+        assert feeds.ReadPage((), start, end, log_end=end).is_current
 
 
 class TestIsSnapshotShorter:
--- a/packages/core/tests/test_providers.py
+++ b/packages/core/tests/test_providers.py
@@ -1,21 +1,28 @@
 """Which providers entries copy from, and which entries read the log."""
 
+import dataclasses
+
 import pytest
 
+from dragonflyslip_core import feeds
 from dragonflyslip_core import membership
 from dragonflyslip_core import providers
 
 
 def _provider(order: int, domain: str = 'a') -> providers.Provider:
     entry_id = membership.EntryId(f'entry-{order}', order)
-    return providers.Provider(entry_id, domain, '10.0.0.1', 7000, order)
+    return providers.Provider(entry_id, domain, '10.0.0.1', 7000, _at(order))
+
+
+def _at(offset: int) -> feeds.Position:
+    return feeds.Position(0, offset)
 
 
 def _open_all(selector: providers.ProviderSelector, now: float) -> list[int]:
     opened = selector.providers_to_connect(now)
     for provider in opened:
         selector.opened(provider)
-    return [provider.registration_offset for provider in opened]
+    return [provider.registered_at.offset for provider in opened]
 
 
 class TestProviderSelector:
@@ -54,7 +61,7 @@
         for number in range(3):
             selector.set_fresh(_provider(number), True)
         assert [
-            item.registration_offset for item in selector.unneeded_providers()
+            item.registered_at.offset for item in selector.unneeded_providers()
         ] == [2]
 
     def test_provider_that_is_still_being_connected_is_no_surplus(self):
@@ -106,7 +113,7 @@
         _open_all(selector, 0.0)
         selector.replaced(selector.order[0])
         assert _open_all(selector, 100.0) == []
-        assert [item.registration_offset for item in selector.order] == [1]
+        assert [item.registered_at.offset for item in selector.order] == [1]
 
     def test_starting_entry_also_tries_recent_registrations(self):
         # Guards against a search among the records of ended processes while
@@ -115,27 +122,46 @@
             [_provider(n) for n in range(100)]
         )
         opened = selector.providers_to_connect(0.0, starting=True)
-        order = [item.registration_offset for item in opened]
+        order = [item.registered_at.offset for item in opened]
         assert order == [99, 92, 36, 0]
         for provider in opened:
             selector.opened(provider)
             selector.closed(provider, 0.0)
         assert [
-            item.registration_offset
+            item.registered_at.offset
             for item in selector.providers_to_connect(0.1, starting=True)
         ] == [1, 2, 3, 4]
 
     def test_ended_registration_is_no_provider(self):
         selector = providers.ProviderSelector([_provider(n) for n in range(4)])
         _open_all(selector, 0.0)
-        assert selector.registration_ended('entry-0', 0) == []
-        assert selector.registration_ended('entry-0', 7) == [_provider(0)]
+        for offset, ended in ((0, []), (7, [_provider(0)])):
+            assert selector.registration_ended('entry-0', _at(offset)) == ended
         assert _open_all(selector, 1.0) == [2]
         assert selector.first_readers == 3
         selector.closed(_provider(1), 1.0)
         assert selector.first_readers == 2
 
 
+class TestOrder:
+    def test_new_order_keeps_connections_of_the_same_processes(self):
+        # Guards against all connections being replaced when registrations
+        # get other positions in a new era.
+        selector = providers.ProviderSelector([_provider(n) for n in range(3)])
+        _open_all(selector, 0.0)
+        for number in (0, 1):
+            selector.set_fresh(_provider(number), True)
+        again = dataclasses.replace(
+            _provider(0), registered_at=feeds.Position(1, 9)
+        )
+        assert selector.follow([again, _provider(2)]) == [_provider(1)]
+        assert selector.order == [_provider(2), again]
+        assert selector.fresh_count == 1
+        assert selector.contains(again.entry_id)
+        # A record of the former era does not end the new registration.
+        assert selector.registration_ended('entry-0', _at(99)) == []
+
+
 class TestReadDecision:
     @pytest.mark.parametrize(
         ('fresh', 'alone', 'after_s', 'reads'),
--- a/packages/core/tests/test_waiting_reads.py
+++ b/packages/core/tests/test_waiting_reads.py
@@ -36,6 +36,14 @@
         read = waiting_reads.WaitingRead(10.0, 11.2)
         assert read.current_at(9.9, heard_at=11.9, now=12.0) == 9.9
 
+    def test_response_of_another_era_shows_nothing(self):
+        # Guards against a copy of a former era that counts as current while
+        # the store does not end its read.
+        read = waiting_reads.WaitingRead(10.0, 11.2, era=1)
+        for era, current_at in ((1, 10.7), (2, 9.9)):
+            known = read.current_at(9.9, heard_at=10.7, now=10.8, era=era)
+            assert known == current_at
+
 
 class TestChooseWait:
     def test_single_read_waits_longest(self):
--- a/packages/entry/src/dragonflyslip_entry/gateway/adapters.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/adapters.py
@@ -138,10 +138,15 @@
     A failed read may be retried.
 
     :ivar heard_at: loop time at which the store last began to respond to a
-        request for records or with the offset of a record.
+        request for records or with the offset of a record, in the newest
+        known era or a newer one.
+    :ivar era: newest known era of the store, which the gateway raises if it
+        learns of a newer one elsewhere. Responses of older eras come from a
+        part of the store that lags behind, and are failures.
     """
 
     heard_at: float
+    era: int
 
     async def newest(
         self, feed: str
@@ -151,17 +156,17 @@
     async def read(
         self,
         feed: str,
-        offset: int,
+        position: feeds.Position,
         wait_s: float,
         copy_bytes: int | None = None,
         on_response: collections.abc.Callable[[], None] | None = None,
     ) -> result.Result[feeds.ReadPage, core_errors.CoreError]:
-        """Return the records from an offset on.
+        """Return the records from a position on.
 
-        The page is complete if the log no longer holds that offset, or if the
-        newest record of each key is much shorter than all records from it on.
-        It ends before the end of the log if the read failed after some
-        records.
+        The page is complete if the log no longer holds that position, or if
+        the newest record of each key is much shorter than all records from it
+        on. It is then of the log's era, otherwise of the position's. It ends
+        before the end of the log if the read failed after some records.
 
         :param wait_s: how long to wait if there are no such records yet.
         :param copy_bytes: length of the newest records that the caller has.
@@ -171,14 +176,24 @@
         """
 
     async def append(
-        self, feed: str, key: str, value: bytes | None
-    ) -> result.Result[int, core_errors.CoreError]:
-        """Write one record and return its offset.
+        self,
+        feed: str,
+        key: str,
+        value: bytes | None,
+        at: feeds.Position | None = None,
+    ) -> result.Result[feeds.Position, core_errors.CoreError]:
+        """Write one record and return its position.
 
         After a failure the record may have been written, or may still
         appear later.
 
         :param value: None deletes the key.
+        :param at: write only if the log ends there. The failure is
+            :exc:`~core_errors.LogEndError` if it ends elsewhere, and the
+            record has not been written. It is
+            :exc:`~core_errors.LogEraError` if the log is of another era; the
+            record may then have been written, but not after the records that
+            the caller knew.
         """
 
     async def close(self) -> None:
--- a/packages/entry/src/dragonflyslip_entry/gateway/board.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/board.py
@@ -36,6 +36,7 @@
     :param route_loads: statistics of service times and callers' timeouts, by
         service and kind of route.
     :param draining: whether the process is about to stop.
+    :param store_era: newest era of the copies of the store's feeds.
     :param counters: counts by metric name without the common prefix.
     """
 
@@ -52,6 +53,7 @@
     manifest: manifest_types.Manifest | None = None
     targets_listed: bool = False
     draining: bool = False
+    store_era: int = 0
     standings: dict[str, placement.TargetStanding] = dataclasses.field(
         default_factory=dict
     )
--- a/packages/entry/src/dragonflyslip_entry/gateway/entry_records.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/entry_records.py
@@ -31,15 +31,14 @@
 ).decode
 
 
-def is_valid(record: feeds.FeedRecord) -> bool:
-    """Return whether a record registers a gateway."""
-    if record.value is None:
-        return False
+def parse(record: feeds.FeedRecord) -> EntryRecord | None:
+    """Return the registration that a record holds, None if it holds none."""
+    if record.value is None or not is_gateway(record):
+        return None
     try:
-        decode(record.value)
+        return decode(record.value)
     except (msgspec.DecodeError, RecursionError):
-        return False
-    return True
+        return None
 
 
 def is_gateway(record: feeds.FeedRecord) -> bool:
--- a/packages/entry/src/dragonflyslip_entry/gateway/feeds.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/feeds.py
@@ -5,11 +5,9 @@
 """
 
 import asyncio
-import dataclasses
 import random
 import secrets
 
-import msgspec
 from returns import result
 
 from dragonflyslip_core import errors as core_errors
@@ -22,7 +20,10 @@
 from dragonflyslip_entry.gateway import board as board_types
 from dragonflyslip_entry.gateway import crash_reports
 from dragonflyslip_entry.gateway import entry_records
+from dragonflyslip_entry.gateway import followed_feeds
+from dragonflyslip_entry.gateway import registry as registry_types
 from dragonflyslip_entry.gateway import relay as relay_types
+from dragonflyslip_entry.gateway import renewals
 from dragonflyslip_entry import logs
 
 # Long-poll time of a read. The log may fail to wake a waiting read, or its
@@ -48,23 +49,6 @@
 SOURCE_LOST_AGE_S = 1.5
 
 
-@dataclasses.dataclass
-class _Feed:
-    """The copy of one feed and the state of its reads.
-
-    :param read_at: when the store last responded to a read whose page reached
-        the end of the log.
-    :param reading: whether the last read succeeded, so that the next one may
-        wait for a change.
-    :param wait: the read that waits for a change now, if any.
-    """
-
-    copy: feeds.FeedCopy = dataclasses.field(default_factory=feeds.FeedCopy)
-    read_at: float = float('-inf')
-    reading: bool = False
-    wait: waiting_reads.WaitingRead | None = None
-
-
 class FeedController:
     """Keeps copies of all feeds current and passes changes to the decoder.
 
@@ -94,17 +78,26 @@
         self.loop = asyncio.get_running_loop()
         self.read_decision = provider_types.ReadDecision()
         self.feeds = {
-            feed: _Feed() for feed in (*adapter.feeds, self.entries_feed)
+            feed: followed_feeds.FollowedFeed()
+            for feed in (*adapter.feeds, self.entries_feed)
         }
         self.relay = relay_types.FeedRelay(
             board,
             self.own_id,
             {feed: state.copy for feed, state in self.feeds.items()},
-            self._apply_page,
+            self._apply_copied_page,
             self._ages,
         )
-        self.registered = False
-        self._gateways: set[str] = set()
+        self.registry = registry_types.GatewayRegistry(
+            board,
+            log,
+            sink,
+            self.relay,
+            self.entries_feed,
+            self.feeds[self.entries_feed].copy,
+            endpoint,
+        )
+        self.renewals = renewals.Renewals(board, (self.registry,))
         self._must_read = asyncio.Event()
 
     async def run(self) -> None:
@@ -114,6 +107,7 @@
         async with asyncio.TaskGroup() as group:
             group.create_task(self._register())
             group.create_task(self._run_updates())
+            group.create_task(self.renewals.run())
             for feed in self.feeds:
                 group.create_task(self._read_feed(feed))
 
@@ -123,14 +117,7 @@
         This gateway goes on following the feeds.
         """
         self.relay.stop_serving()
-        outcome = await self.log.append(
-            self.entries_feed, self.own_id.name, None
-        )
-        if isinstance(outcome, result.Failure):
-            logs.info(
-                'registration could not be removed',
-                reason=outcome.failure().message,
-            )
+        await self.registry.leave()
 
     def close(self) -> None:
         """Close the links to other gateways."""
@@ -138,66 +125,19 @@
 
     async def _register(self) -> None:
         """Register, and copy from gateways that registered earlier."""
-        record = entry_records.EntryRecord(
-            incarnation=self.own_id.incarnation,
-            failure_domain=str(self.board.failure_domain),
-            endpoint=str(self.endpoint),
-        )
-        value = msgspec.json.encode(record)
-        while True:
-            outcome = await self.log.append(
-                self.entries_feed, self.own_id.name, value
-            )
-            if isinstance(outcome, result.Success):
-                outcome = await self.log.newest(self.entries_feed)
-            # The value holds the incarnation, so a record that another process
-            # wrote under this name does not match.
-            match outcome:
-                case result.Success(page) if (
-                    own := entry_records.find(page, self.own_id.name, value)
-                ) is not None:
-                    break
-                case result.Failure(error):
-                    logs.info('registration failed', reason=error.message)
-            await asyncio.sleep(random.uniform(RETRY_MIN_S, RETRY_MAX_S))
+        page = await self.registry.register()
+        now = self.loop.time()
         gateways = [
             item for item in page.records if entry_records.is_gateway(item)
         ]
-        older = self._older_gateways(gateways, own.offset)
-        now = self.loop.time()
         self.board.fleet.record_count(len(gateways), now)
-        logs.info('registered', order=own.offset, older=len(older))
-        self.registered = True
         self.read_decision = provider_types.ReadDecision()
-        self.relay.follow(older)
         self.feeds[self.entries_feed].read_at = page.answered_at
         self._apply_page(self.entries_feed, page)
+        if not self.registry.begin_following():
+            self.renewals.begin()
         self._update(now)
 
-    def _older_gateways(
-        self, gateways: list[feeds.FeedRecord], own_offset: int
-    ) -> list[provider_types.Provider]:
-        found = []
-        for record in gateways:
-            if record.offset >= own_offset or record.value is None:
-                continue
-            try:
-                entry = entry_records.decode(record.value)
-            except (msgspec.DecodeError, RecursionError) as error:
-                self.sink.record_skipped(record.key, str(error))
-                continue
-            host, port = flag_settings.split_endpoint(entry.endpoint)
-            found.append(
-                provider_types.Provider(
-                    membership.EntryId(record.key, entry.incarnation),
-                    entry.failure_domain,
-                    host,
-                    port,
-                    record.offset,
-                )
-            )
-        return found
-
     async def _run_updates(self) -> None:
         while True:
             self._update(self.loop.time())
@@ -206,6 +146,9 @@
             )
 
     def _update(self, now: float) -> None:
+        for feed in self.feeds.values():
+            feed.end_outdated_wait(self.log.era, now)
+        self.registry.expire()
         self.relay.update(now, self._starting)
         self.board.set_entries(self.board.fleet.entries(now))
         before = self.read_decision.reads
@@ -236,7 +179,9 @@
     @property
     def _alone(self) -> bool:
         """Whether no gateway that registered earlier is left to copy from."""
-        return self.registered and not self.relay.provider_selector.order
+        return (
+            self.registry.registered and not self.relay.provider_selector.order
+        )
 
     def _is_patient(self) -> bool:
         """Whether other gateways are about to read the store first."""
@@ -248,7 +193,7 @@
     @property
     def _starting(self) -> bool:
         """Whether this gateway is registered but lacks the copy of a feed."""
-        return self.registered and any(
+        return self.registry.registered and any(
             feed.copy.through is None for feed in self.feeds.values()
         )
 
@@ -256,11 +201,7 @@
         """Return the seconds since each feed's copy was current."""
         ages = {}
         for name, feed in self.feeds.items():
-            current_at = feed.read_at
-            if feed.wait is not None:
-                current_at = feed.wait.current_at(
-                    feed.read_at, self.log.heard_at, now
-                )
+            current_at = feed.current_at(self.log.heard_at, self.log.era, now)
             ages[name] = min(now - current_at, self.relay.age_s(name, now))
         return ages
 
@@ -281,7 +222,10 @@
             match await self._read_once(name, begun_at, wait_s):
                 case result.Success(page):
                     failures = 0
-                    is_early = page.answered_at - begun_at < wait_s / 2
+                    is_early = (
+                        not page.complete
+                        and page.answered_at - begun_at < wait_s / 2
+                    )
                     await asyncio.sleep(
                         self._handle_read(name, page, is_early)
                     )
@@ -295,12 +239,17 @@
                     if failures > 1:
                         await asyncio.sleep(self._retry_delay_s())
 
-    def _choose_wait_s(self, feed: _Feed, now: float) -> float:
+    def _choose_wait_s(
+        self, feed: followed_feeds.FollowedFeed, now: float
+    ) -> float:
         """Return how long the next read of a feed waits for a change."""
         # The first read does not wait: its response makes the copy current
         # for this gateway and those that copy from it.
         if feed.copy.through is None or not feed.reading:
             return 0.0
+        if feed.era < self.log.era:
+            # The store has come back from an older copy.
+            return 0.0
         return waiting_reads.choose_wait_s(
             now,
             [
@@ -323,17 +272,27 @@
             feed.wait = None
 
         if wait_s > 0:
-            feed.wait = waiting_reads.WaitingRead(now, now + wait_s)
+            feed.wait = waiting_reads.WaitingRead(now, now + wait_s, feed.era)
         try:
-            return await self.log.read(
-                name,
-                feed.copy.through,
-                wait_s,
-                feed.copy.value_bytes,
-                end_wait,
-            )
+            async with asyncio.timeout(None) as feed.wait_timeout:
+                outcome = await self.log.read(
+                    name,
+                    feed.copy.through,
+                    wait_s,
+                    feed.copy.value_bytes,
+                    end_wait,
+                )
+        except TimeoutError:
+            outcome = await self.log.newest(name)
         finally:
             end_wait()
+        match outcome:
+            case result.Success(page) if page.era < feed.era:
+                # A provider has sent a copy of a newer era meanwhile.
+                return result.Failure(
+                    core_errors.OlderEraError(page.era, feed.era)
+                )
+        return outcome
 
     def _handle_read(
         self, name: str, page: feeds.ReadPage, is_early: bool
@@ -361,7 +320,9 @@
         feed.reading = False
         return self._retry_delay_s()
 
-    def _reread_delay_s(self, feed: _Feed, now: float) -> float:
+    def _reread_delay_s(
+        self, feed: followed_feeds.FollowedFeed, now: float
+    ) -> float:
         """Return how long to wait before a read that does not wait itself.
 
         Providers may confirm meanwhile a copy that was just read.
@@ -375,6 +336,14 @@
             return random.uniform(FOLLOWER_RETRY_MIN_S, FOLLOWER_RETRY_MAX_S)
         return random.uniform(RETRY_MIN_S, RETRY_MAX_S)
 
+    def _apply_copied_page(self, name: str, page: feeds.FeedPage) -> None:
+        """Apply a page that a provider has sent."""
+        feed = self.feeds[name]
+        if page.era > feed.era:
+            # Own reads said nothing of this era.
+            feed.read_at = float('-inf')
+        self._apply_page(name, page)
+
     def _apply_page(self, name: str, page: feeds.FeedPage) -> bool:
         """Apply a page that was read from the log or copied.
 
@@ -383,6 +352,11 @@
         feed = self.feeds[name]
         before = feed.copy.through
         changes = feed.copy.apply(page)
+        if changes is not None:
+            self.log.era = max(self.log.era, feed.era)
+            self.board.store_era = max(self.board.store_era, feed.era)
+        if before is not None and feed.era > before.era:
+            self._begin_era(name, before)
         if changes is not None:
             if self._ages(self.loop.time())[name] <= SOURCE_LOST_AGE_S:
                 self.sink.source_regained(name)
@@ -392,10 +366,28 @@
         self.relay.announce()
         return True
 
+    def _begin_era(self, name: str, before: feeds.Position) -> None:
+        """Record that the store has come back from an older copy.
+
+        :param before: end of the copy that has been replaced.
+        """
+        feed = self.feeds[name]
+        self.board.count('era_changes')
+        logs.info(
+            'store has come back in a new era',
+            feed=name,
+            era=feed.era,
+            through=feed.copy.through.offset,
+            previous_era=before.era,
+            previous_through=before.offset,
+        )
+        if name == self.entries_feed:
+            self.renewals.begin()
+
     def _apply_changes(self, name: str, changes: feeds.FeedPage) -> None:
         try:
             if name == self.entries_feed:
-                self._apply_gateways(changes)
+                self.registry.apply(changes)
                 self.crashes.apply(changes)
             else:
                 self.decoder.apply(name, changes)
@@ -406,19 +398,5 @@
             logs.LOGGER.error(
                 'changes could not be applied',
                 exc_info=error,
-                extra={'feed': name, 'through': changes.through},
+                extra={'feed': name, 'through': changes.through.offset},
             )
-
-    def _apply_gateways(self, page: feeds.FeedPage) -> None:
-        """Apply registrations of gateways."""
-        if page.complete:
-            self._gateways.clear()
-        for record in page.records:
-            if not entry_records.is_gateway(record):
-                continue
-            self.relay.registration_ended(record.key, record.offset)
-            if entry_records.is_valid(record):
-                self._gateways.add(record.key)
-            else:
-                self._gateways.discard(record.key)
-        self.board.set_registered_entries(frozenset(self._gateways))
--- a/packages/entry/src/dragonflyslip_entry/gateway/metrics.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/metrics.py
@@ -67,7 +67,9 @@
             'manifest_version': manifest.version if manifest else 0,
             'targets': len(self.board.directory.targets),
             'domains_out': len(self.board.directory.domains_out),
+            'domains_held_out': len(self.board.directory.held_domains),
             'ready': int(self.board.ready),
+            'store_era': self.board.store_era,
         }
         for name, value in gauges.items():
             yield metrics_core.GaugeMetricFamily(
--- a/packages/entry/src/dragonflyslip_entry/gateway/relay.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/relay.py
@@ -6,23 +6,20 @@
 
 import asyncio
 import collections.abc
-import dataclasses
 
 from dragonflyslip_core import feeds
 from dragonflyslip_core import membership
 from dragonflyslip_core import providers as provider_types
 from dragonflyslip_entry.gateway import board as board_types
 from dragonflyslip_entry.gateway import page_pulls
+from dragonflyslip_entry.gateway import page_pushes
+from dragonflyslip_entry.gateway import provider_links
 from dragonflyslip_entry import logs
 from dragonflyslip_entry import peer_links
 import dragonflyslip_wire as wire
 
 CONNECT_TIMEOUT_S = 0.3
 STATUS_PERIOD_S = 0.3
-# A page longer than this is sent only while few bytes wait for the network.
-# Subscribers that get none read the store, over links of their own.
-LONG_PAGE_BYTES = 16_384
-MAX_UNSENT_BYTES = 524_288
 # A provider that sends no status within this time has ended without closing
 # the connection.
 PROVIDER_TIMEOUT_S = 3.0
@@ -36,43 +33,6 @@
 Ages = collections.abc.Callable[[float], dict[str, float]]
 
 
-@dataclasses.dataclass
-class _ProviderLink:
-    """A connection to a provider.
-
-    :param states: states of the feeds in the provider's last status, by name.
-    :param status_received_at: when that status was received.
-    :param confirmed_at: when this gateway's copy was last known to equal the
-        log, by feed.
-    """
-
-    provider: provider_types.Provider
-    link: peer_links.PeerLink
-    opened_at: float
-    subscribed_at: float
-    states: dict[str, wire.FeedState] = dataclasses.field(default_factory=dict)
-    status_received_at: float = float('-inf')
-    confirmed_at: dict[str, float] = dataclasses.field(default_factory=dict)
-
-    def confirm(self, name: str, through: int | None) -> None:
-        """Update ``confirmed_at`` if the copy reaches the provider's.
-
-        :param through: offset after the last record of the feed that this
-            gateway has.
-        """
-        state = self.states.get(name)
-        if state is None or through is None or through < state.through:
-            return
-        known = self.confirmed_at.get(name, float('-inf'))
-        self.confirmed_at[name] = max(
-            known, self.status_received_at - state.age_s
-        )
-
-    def age_s(self, name: str, now: float) -> float:
-        """Return the seconds since the copy was known to equal the log."""
-        return now - self.confirmed_at.get(name, float('-inf'))
-
-
 class FeedRelay:
     """Copies feeds from gateways that registered earlier to later ones.
 
@@ -100,12 +60,12 @@
         self.subscribers: dict[peer_links.PeerLink, float] = {}
         # Links that have not subscribed yet, and when they were opened.
         self._accepted: dict[peer_links.PeerLink, float] = {}
-        self._links: dict[membership.EntryId, _ProviderLink] = {}
+        self._links: dict[membership.EntryId, provider_links.ProviderLink] = {}
         self._connecting: set[asyncio.Task[None]] = set()
         self.pulls = page_pulls.PagePulls(copies)
         # Feeds whose first copy may come from a provider that is not fresh.
         self.unreadable: set[str] = set()
-        self._page_frames: dict[tuple[str, int | None], bytes] = {}
+        self.pushes = page_pushes.PagePushes(board, copies, self.subscribers)
         self._status_at = float('-inf')
         self._server: asyncio.Server | None = None
 
@@ -118,9 +78,12 @@
     def follow(self, providers: list[provider_types.Provider]) -> None:
         """Copy from the best of these from the next :meth:`update` on.
 
+        Links to providers that stay among them are kept.
+
         :param providers: the gateways that registered earlier.
         """
-        self.provider_selector = provider_types.ProviderSelector(providers)
+        for provider in self.provider_selector.follow(providers):
+            self._close_link(provider)
 
     def update(self, now: float, starting: bool = False) -> None:
         """Check, close and open links; send the status if it is due.
@@ -142,7 +105,7 @@
 
     def announce(self) -> None:
         """Send the state of all feeds to the subscribers."""
-        self._page_frames.clear()
+        self.pushes.forget()
         self._status_at = self.loop.time()
         if not self.subscribers:
             return
@@ -156,20 +119,26 @@
             (
                 provider_link.age_s(name, now)
                 for provider_link in self._links.values()
+                if not provider_link.is_of_older_era(
+                    name, self.copies[name].through
+                )
             ),
             default=float('inf'),
         )
 
-    def registration_ended(self, name: str, before: int) -> None:
+    def registration_ended(self, name: str, before: feeds.Position) -> None:
         """Stop copying from a gateway whose registration has ended.
 
-        :param before: offset of the record that ended its registration.
+        :param before: position of the record that ended its registration.
         """
         ended = self.provider_selector.registration_ended(name, before)
         for provider in ended:
-            provider_link = self._links.pop(provider.entry_id, None)
-            if provider_link is not None:
-                provider_link.link.close()
+            self._close_link(provider)
+
+    def _close_link(self, provider: provider_types.Provider) -> None:
+        provider_link = self._links.pop(provider.entry_id, None)
+        if provider_link is not None:
+            provider_link.link.close()
 
     def stop_serving(self) -> None:
         """Stop listening and close the links to subscribers.
@@ -205,7 +174,9 @@
         """
         return any(
             provider_link.status_received_at > float('-inf')
-            and all(map(_is_fresh, provider_link.states.values()))
+            and all(
+                map(provider_links.is_fresh, provider_link.states.values())
+            )
             for provider_link in self._links.values()
         )
 
@@ -220,7 +191,7 @@
         return wire.FeedStatus(states, 1 + len(self.subscribers))
 
     def _check_provider(
-        self, provider_link: _ProviderLink, now: float
+        self, provider_link: provider_links.ProviderLink, now: float
     ) -> None:
         silent_s = now - max(
             provider_link.status_received_at, provider_link.opened_at
@@ -243,14 +214,17 @@
         if provider_link.states:
             fresh = all(
                 provider_link.age_s(name, now) <= provider_types.FRESH_S
+                and not provider_link.is_of_older_era(name, copy.through)
                 and not self.pulls.is_overdue(name, now)
-                for name in self.copies
+                for name, copy in self.copies.items()
             )
             self.provider_selector.set_fresh(provider_link.provider, fresh)
         if now - provider_link.subscribed_at >= SUBSCRIBE_PERIOD_S:
             self._subscribe(provider_link, now)
 
-    def _drop_provider(self, provider_link: _ProviderLink, now: float) -> None:
+    def _drop_provider(
+        self, provider_link: provider_links.ProviderLink, now: float
+    ) -> None:
         provider_link.link.close()
         del self._links[provider_link.provider.entry_id]
         self.provider_selector.closed(provider_link.provider, now)
@@ -282,17 +256,19 @@
             )
             return
         link.peer = provider.entry_id
-        if provider not in self.provider_selector.order:
+        if not self.provider_selector.contains(provider.entry_id):
             # Its registration ended meanwhile.
             link.close()
             return
         now = self.loop.time()
-        provider_link = _ProviderLink(provider, link, now, now)
+        provider_link = provider_links.ProviderLink(provider, link, now, now)
         self._links[provider.entry_id] = provider_link
         self._subscribe(provider_link, now)
         logs.info('provider connected', provider=str(provider.entry_id))
 
-    def _subscribe(self, provider_link: _ProviderLink, now: float) -> None:
+    def _subscribe(
+        self, provider_link: provider_links.ProviderLink, now: float
+    ) -> None:
         provider_link.subscribed_at = now
         provider_link.link.send(
             wire.encode_frame(
@@ -309,7 +285,7 @@
             case wire.FeedSubscribe():
                 self._accept_subscriber(link, message)
             case wire.FeedPull():
-                self._send_page(link, message)
+                self.pushes.send(link, message)
             case wire.FeedStatus():
                 self._handle_status(link, message)
             case wire.FeedPush():
@@ -339,41 +315,6 @@
         if not known:
             link.send(wire.encode_frame(self._status()))
 
-    def _send_page(
-        self, link: peer_links.PeerLink, message: wire.FeedPull
-    ) -> None:
-        copy = self.copies.get(message.name)
-        page = None if copy is None else copy.changes_since(message.start)
-        if page is None:
-            return
-        key = message.name, message.start
-        frame = self._page_frames.get(key)
-        if frame is None:
-            try:
-                frame = wire.encode_frame(wire.FeedPush(message.name, page))
-            except wire.WireError as error:
-                # A subscriber that receives no page reads the log itself.
-                self.board.count('feed_pages_too_long')
-                logs.info(
-                    'page not sent', feed=message.name, reason=error.message
-                )
-                return
-            self._page_frames[key] = frame
-        if len(frame) > LONG_PAGE_BYTES and self._is_congested(link):
-            self.board.count('feed_pages_deferred')
-            return
-        self.board.count('feed_pages_sent')
-        link.send(frame)
-
-    def _is_congested(self, link: peer_links.PeerLink) -> bool:
-        """Return whether the network has too much to carry for a long page.
-
-        Pages that a slow link cannot carry would pile up on it, since a
-        subscriber that gets none asks again.
-        """
-        unsent_bytes = sum(item.unsent_bytes for item in self.subscribers)
-        return link.unsent_bytes > 0 or unsent_bytes > MAX_UNSENT_BYTES
-
     def _handle_status(
         self, link: peer_links.PeerLink, message: wire.FeedStatus
     ) -> None:
@@ -420,7 +361,9 @@
         link.close()
         logs.info('provider replaced', provider=str(message.sender))
 
-    def _pull_missing(self, provider_link: _ProviderLink, now: float) -> None:
+    def _pull_missing(
+        self, provider_link: provider_links.ProviderLink, now: float
+    ) -> None:
         for name, copy in self.copies.items():
             state = provider_link.states.get(name)
             if state is None or (
@@ -429,7 +372,7 @@
                 continue
             if (
                 copy.through is None
-                and not _is_fresh(state)
+                and not provider_links.is_fresh(state)
                 and name not in self.unreadable
             ):
                 # It may lack the end of a target, a domain or a route that
@@ -452,7 +395,3 @@
                 link.close()
                 del self._accepted[link]
         self.board.fleet.record_count(1 + len(self.subscribers), now)
-
-
-def _is_fresh(state: wire.FeedState) -> bool:
-    return state.age_s <= provider_types.FRESH_S
--- a/packages/wire/src/dragonflyslip_wire/messages.py
+++ b/packages/wire/src/dragonflyslip_wire/messages.py
@@ -171,13 +171,13 @@
 class FeedState:
     """How far one entry has read a feed.
 
-    :param through: offset after the last record that the entry has, one more
-        than ``through`` would be in :class:`ConfigPush`.
+    :param through: position after the last record that the entry has. Its
+        offset is one more than ``through`` would be in :class:`ConfigPush`.
     :param age_s: seconds since ``through`` was the end of the log.
     """
 
     name: str
-    through: int
+    through: feeds.Position
     age_s: float
 
 
@@ -197,11 +197,11 @@
 class FeedPull:
     """Requests the changes of a feed.
 
-    :param start: first offset; None for everything.
+    :param start: first position; None for everything.
     """
 
     name: str
-    start: int | None
+    start: feeds.Position | None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -589,7 +589,8 @@
     items = builder.init('feeds', len(message.feeds))
     for item, state in zip(items, message.feeds, strict=True):
         item.name = _check_name(state.name, 'feed')
-        item.through = state.through
+        item.era = state.through.era
+        item.through = state.through.offset
         # Rounded up: if the state looks too old, the recipient asks another
         # entry.
         item.ageMs = _to_ms(state.age_s, round_up=True)
@@ -600,7 +601,9 @@
     return FeedStatus(
         tuple(
             FeedState(
-                _check_name(item.name, 'feed'), item.through, item.ageMs / 1000
+                _check_name(item.name, 'feed'),
+                feeds.Position(item.era, item.through),
+                item.ageMs / 1000,
             )
             for item in reader.feeds
         ),
@@ -610,20 +613,25 @@
 
 def _write_feed_pull(builder, message: FeedPull) -> None:
     builder.name = _check_name(message.name, 'feed')
-    builder.hasStart = message.start is not None
-    builder.start = message.start or 0
+    if message.start is not None:
+        builder.hasStart = True
+        builder.era = message.start.era
+        builder.start = message.start.offset
 
 
 def _read_feed_pull(reader) -> FeedPull:
-    start = reader.start if reader.hasStart else None
+    start = None
+    if reader.hasStart:
+        start = feeds.Position(reader.era, reader.start)
     return FeedPull(_check_name(reader.name, 'feed'), start)
 
 
 def _write_feed_push(builder, message: FeedPush) -> None:
     page = message.page
     builder.name = _check_name(message.name, 'feed')
-    builder.start = page.start
-    builder.through = page.through
+    builder.era = page.era
+    builder.start = page.start.offset
+    builder.through = page.through.offset
     builder.complete = page.complete
     content = _schema.FeedRecords.new_message(
         num_first_segment_words=_max_feed_words(page.records)
@@ -632,7 +640,7 @@
     for item, record in zip(items, page.records, strict=True):
         item.key = _check_text(record.key, 'key')
         item.value = record.value or b''
-        item.offset = record.offset
+        item.offset = record.position.offset
         item.dropped = record.value is None
     data = content.to_bytes_packed()
     if not _has_one_segment(data):
@@ -658,16 +666,20 @@
     content = _schema.FeedRecords.from_bytes_packed(
         data, traversal_limit_in_words=MAX_MESSAGE_WORDS
     )
+    era = reader.era
     records = tuple(
         feeds.FeedRecord(
             _check_text(item.key, 'key'),
             None if item.dropped else bytes(item.value),
-            item.offset,
+            feeds.Position(era, item.offset),
         )
         for item in content.records
     )
     page = feeds.FeedPage(
-        records, reader.start, reader.through, reader.complete
+        records,
+        feeds.Position(era, reader.start),
+        feeds.Position(era, reader.through),
+        reader.complete,
     )
     return FeedPush(_check_name(reader.name, 'feed'), page)
 
--- a/packages/wire/src/dragonflyslip_wire/peer.capnp
+++ b/packages/wire/src/dragonflyslip_wire/peer.capnp
@@ -137,10 +137,12 @@
 struct FeedStatus {
   struct Feed {
     name @0 :Text;
-    # Offset after the last record that the sender has.
+    # Offset after the last record that the sender has, in the era below.
     through @1 :UInt64;
     # Time since that offset was the end of the log.
     ageMs @2 :UInt32;
+    # How many times the log had come back from an older copy of itself.
+    era @3 :UInt32;
   }
 
   feeds @0 :List(Feed);
@@ -154,6 +156,8 @@
   # otherwise everything is requested.
   start @1 :UInt64;
   hasStart @2 :Bool;
+  # Era of start.
+  era @3 :UInt32;
 }
 
 struct FeedPush {
@@ -174,6 +178,8 @@
   complete @3 :Bool;
   # FeedRecords, packed and then compressed with zlib.
   records @4 :Data;
+  # Era of start, through and the offsets of all records.
+  era @5 :UInt32;
 }
 
 struct FeedRecords {
--- a/packages/wire/tests/test_frames.py
+++ b/packages/wire/tests/test_frames.py
@@ -6,6 +6,7 @@
 from hypothesis import strategies
 import pytest
 
+from dragonflyslip_core import feeds
 from dragonflyslip_core import membership
 from dragonflyslip_core import suspects
 from dragonflyslip_core import target_facts
@@ -90,6 +91,9 @@
     ),
 )
 
+# Bytes of the messages of `TestFeedMessages` before they had an era.
+SIZES = [37, 28, 25, 84]
+
 derandomized = hypothesis.settings(
     max_examples=200, deadline=None, derandomize=True
 )
@@ -144,6 +148,42 @@
             assert received == message
 
 
+class TestFeedMessages:
+    def messages(self, era):
+        start, end = feeds.Position(era, 0), feeds.Position(era, 900)
+        records = tuple(
+            feeds.FeedRecord(f'i-{n}', value, feeds.Position(era, n))
+            for n, value in enumerate((b'value', None))
+        )
+        return [
+            wire.FeedStatus((wire.FeedState('feed', end, 0.1),), 3),
+            wire.FeedPull('feed', end),
+            wire.FeedPull('feed', None),
+            wire.FeedPush('feed', feeds.FeedPage(records, start, end, True)),
+        ]
+
+    @pytest.mark.parametrize('era', [0, 1, 2, feeds.MAX_ERA])
+    def test_positions_keep_their_era(self, era):
+        sent = self.messages(era)
+        data = b''.join(map(wire.encode_frame, sent))
+        assert list(wire.FrameDecoder().feed(data)) == sent
+
+    def test_era_takes_few_bytes(self):
+        # Guards against an era in each record. The sizes of era 0 are those
+        # of messages without the field.
+        frames = [
+            [len(wire.encode_frame(m)) for m in self.messages(era)]
+            for era in (0, 1)
+        ]
+        assert frames[0] == SIZES
+        assert all(b - a <= 2 for a, b in zip(*frames, strict=True))
+
+    def test_era_out_of_bounds_is_not_sent(self):
+        for message in self.messages(feeds.MAX_ERA + 1)[:2]:
+            with pytest.raises(wire.WireError):
+                wire.encode_frame(message)
+
+
 class TestBadInput:
     @derandomized
     @hypothesis.given(
--- a/tests/adapter/test_endless_store.py
+++ b/tests/adapter/test_endless_store.py
@@ -7,6 +7,7 @@
 from returns import result
 
 import dragonflyslip_adapter
+from dragonflyslip_core import feeds
 import dragonflyslip_emulator as emulator
 
 Part = emulator.EndlessPart
@@ -86,7 +87,7 @@
         store = open_store(server.url)
         outcomes = [
             await store.newest('keyed.op'),
-            await store.read('keyed.op', 0, 0.0),
+            await store.read('keyed.op', feeds.START, 0.0),
             await store.append('keyed.own', 'key', b'value'),
         ]
         assert all(isinstance(item, result.Failure) for item in outcomes)
@@ -145,7 +146,7 @@
         server = await asyncio.start_server(serve, '127.0.0.1', 0)
         port = server.sockets[0].getsockname()[1]
         store = open_store(f'http://127.0.0.1:{port}')
-        outcome = await store.read('keyed.op', 0, 0.0)
+        outcome = await store.read('keyed.op', feeds.START, 0.0)
         values = [item.value or b'' for item in outcome.unwrap().records]
         assert sum(len(value) for value in values) <= len(body)
         server.close()
@@ -210,13 +211,13 @@
         self, serve_body, open_store, body
     ):
         store = open_store(await serve_body(410, body))
-        outcome = await store.read('keyed.op', 0, 0.0)
+        outcome = await store.read('keyed.op', feeds.START, 0.0)
         assert isinstance(outcome, result.Failure)
 
     async def test_page_of_huge_offsets_is_read(self, serve_body, open_store):
         """Guards against the lengths of records that exceed their page."""
         page = b'\xff' * 16 + b'\xff\xff\xff\xff' + b'rest'
         store = open_store(await serve_body(200, page))
-        outcome = await store.read('keyed.op', 7, 0.0)
+        outcome = await store.read('keyed.op', feeds.Position(0, 7), 0.0)
         assert outcome.unwrap().records == ()
-        assert outcome.unwrap().through == 7
+        assert outcome.unwrap().through == feeds.Position(0, 7)
--- a/tests/adapter/test_relays.py
+++ b/tests/adapter/test_relays.py
@@ -76,7 +76,7 @@
     """Stop all messages of a gateway to its subscribers, as if paused."""
     silenced = gateway.feeds.relay
     silenced.announce = lambda: None
-    silenced._send_page = lambda link, message: None
+    silenced.pushes.send = lambda link, message: None
     silenced._accept_subscriber = lambda link, message: None
 
 
--- a/tests/adapter/test_slow_links.py
+++ b/tests/adapter/test_slow_links.py
@@ -12,7 +12,7 @@
 from dragonflyslip_core import transfers
 from dragonflyslip_emulator import store as store_types
 from dragonflyslip_entry.gateway import page_pulls
-from dragonflyslip_entry.gateway import relay as relay_types
+from dragonflyslip_entry.gateway import page_pushes
 from dragonflyslip_entry import peer_links
 from dragonflyslip_testing import relay as network
 import dragonflyslip_wire as wire
@@ -119,7 +119,7 @@
         await platform.store.put('keyed.op', 'config', value)
         store = dragonflyslip_adapter.Store(await slow_link())
         newest = (await store.newest('keyed.op')).unwrap()
-        read = (await store.read('keyed.op', 0, 0.0)).unwrap()
+        read = (await store.read('keyed.op', feed_types.START, 0.0)).unwrap()
         for page in (newest, read):
             assert [item.value for item in page.records] == [value]
             assert page.is_current
@@ -132,10 +132,12 @@
         # manifest is on the same link.
         await platform.store.put('keyed.op', 'config', bytes(4_000_000))
         store = dragonflyslip_adapter.Store(await slow_link())
-        long_read = asyncio.create_task(store.read('keyed.op', 0, 0.0))
+        long_read = asyncio.create_task(
+            store.read('keyed.op', feed_types.START, 0.0)
+        )
         await asyncio.sleep(0.1)
         while not long_read.done():
-            outcome = await store.read('keyed.servers', 0, 0.2)
+            outcome = await store.read('keyed.servers', feed_types.START, 0.2)
             assert isinstance(outcome, result.Success)
         assert isinstance(await long_read, result.Success)
         await store.close()
@@ -148,9 +150,12 @@
         url = await serve_parts(40_000, [page, b'\0\0\x23\x28\1c333'])
         store = dragonflyslip_adapter.Store(url)
         async with asyncio.timeout(MAX_READ_S):
-            read = (await store.read('keyed.op', 0, 0.0)).unwrap()
+            read = (
+                await store.read('keyed.op', feed_types.START, 0.0)
+            ).unwrap()
         assert [item.key for item in read.records] == ['a', 'b']
-        assert (read.through, read.is_current) == (2, False)
+        assert read.through == feed_types.Position(0, 2)
+        assert not read.is_current
         await store.close()
 
     async def test_error_that_breaks_off_holds_no_records(self, platform):
@@ -164,7 +169,7 @@
         server = await asyncio.start_server(serve, '127.0.0.1', 0)
         port = server.sockets[0].getsockname()[1]
         store = dragonflyslip_adapter.Store(f'http://127.0.0.1:{port}')
-        outcome = await store.read('keyed.op', 0, 0.0)
+        outcome = await store.read('keyed.op', feed_types.START, 0.0)
         assert isinstance(outcome, result.Failure)
         await store.close()
         server.close()
@@ -179,7 +184,7 @@
         async with asyncio.timeout(MAX_READ_S):
             outcomes = [
                 await store.newest('keyed.op'),
-                await store.read('keyed.op', 0, 0.0),
+                await store.read('keyed.op', feed_types.START, 0.0),
             ]
         assert all(isinstance(item, result.Failure) for item in outcomes)
         await store.close()
@@ -194,7 +199,9 @@
             await platform.store.put('keyed.op', 'config', value)
         store = dragonflyslip_adapter.Store(await slow_link())
         page = (
-            await store.read('keyed.op', 1, 0.0, MAX_RECORD_BYTES)
+            await store.read(
+                'keyed.op', feed_types.Position(0, 1), 0.0, MAX_RECORD_BYTES
+            )
         ).unwrap()
         assert [item.value for item in page.records] == [value]
         assert page.is_current
@@ -319,7 +326,9 @@
         # Guards against copies of a long page that pile up on a slow link,
         # and against a peer that keeps a gateway waiting with a few bytes.
         page = feed_types.FeedPage(
-            (feed_types.FeedRecord('config', LONG_VALUE, 0),), 0, 1
+            (feed_types.FeedRecord('config', LONG_VALUE, feed_types.START),),
+            feed_types.START,
+            feed_types.Position(0, 1),
         )
         frame = wire.encode_frame(wire.FeedPush('keyed.op', page))
         received = []
@@ -347,9 +356,9 @@
         await platform.publish()
         gateways = [await platform.add_gateway() for _ in range(GATEWAYS)]
         await asyncio.sleep(1.0)
-        monkeypatch.setattr(relay_types, 'MAX_UNSENT_BYTES', -1)
+        monkeypatch.setattr(page_pushes, 'MAX_UNSENT_BYTES', -1)
         # Manifests become short when they are packed.
-        monkeypatch.setattr(relay_types, 'LONG_PAGE_BYTES', 0)
+        monkeypatch.setattr(page_pushes, 'LONG_PAGE_BYTES', 0)
         await _publish_long_manifest(platform, 'casebook')
         async with asyncio.timeout(IN_FORCE_S):
             while any(
--- a/tests/adapter/test_store_connections.py
+++ b/tests/adapter/test_store_connections.py
@@ -5,6 +5,7 @@
 import pytest
 
 import dragonflyslip_adapter
+from dragonflyslip_core import feeds
 
 _PAGE = b'HTTP/1.1 200 OK\r\nContent-Length: 16\r\n\r\n' + bytes(16)
 
@@ -30,11 +31,11 @@
         server = await asyncio.start_server(serve, '127.0.0.1', 0)
         port = server.sockets[0].getsockname()[1]
         store = dragonflyslip_adapter.Store(f'http://127.0.0.1:{port}')
-        read = asyncio.create_task(store.read('keyed.op', 0, 1.0))
+        read = asyncio.create_task(store.read('keyed.op', feeds.START, 1.0))
         await requested.wait()
         if moved:
             store.url = 'http://127.0.0.1:1'
-            await store.read('keyed.op', 0, 0.0)
+            await store.read('keyed.op', feeds.START, 0.0)
         else:
             await store.close()
         release.set()
--- a/tests/fuzz.py
+++ b/tests/fuzz.py
@@ -20,6 +20,7 @@
 _MACHINES = {
     'claims': ('test_claims.py', 'ClaimMachine'),
     'configuration': ('test_checkpoints.py', 'ConfigurationMachine'),
+    'feeds': ('test_feed_machine.py', 'FeedMachine'),
     'fleet': ('test_fleet_machine.py', 'FleetMachine'),
     'suspects': ('test_suspects.py', 'SuspectMachine'),
     'admission': ('test_limits.py', 'AdmissionMachine'),
--- a/tests/fuzz_parsers.py
+++ b/tests/fuzz_parsers.py
@@ -22,7 +22,6 @@
 from dragonflyslip_adapter import dialect
 from dragonflyslip_adapter import errors as adapter_errors
 from dragonflyslip_adapter import records
-from dragonflyslip_adapter import store
 from dragonflyslip_adapter import store_pages
 from dragonflyslip_core import feeds as feed_types
 from dragonflyslip_core import membership
@@ -114,7 +113,9 @@
     """Parse a page of records, also as the beginning of a longer page."""
     with contextlib.suppress(adapter_errors.LongPageError):
         store_pages.UnreadRecords(8, 1_000).check(data, len(data))
-    store_pages.parse_page(store_pages.Response(200, data, 0.0), 8)
+    store_pages.parse_page(
+        store_pages.Response(200, data, 0.0), feed_types.Position(1, 8)
+    )
 
 
 def _parse_headers(data: bytes) -> None:
@@ -174,12 +175,21 @@
     wire.encode_frame(message)
     for message in (
         wire.FeedSubscribe(_ENTRY_ID, _ENTRY_ID),
-        wire.FeedStatus((wire.FeedState('keyed.op', 4, 0.1),), 3),
+        wire.FeedStatus(
+            (wire.FeedState('keyed.op', feed_types.Position(1, 4), 0.1),), 3
+        ),
         wire.FeedPull('keyed.op', None),
         wire.FeedPush(
             'keyed.op',
             feed_types.FeedPage(
-                (feed_types.FeedRecord('config', _MANIFEST, 1),), 0, 2, True
+                (
+                    feed_types.FeedRecord(
+                        'config', _MANIFEST, feed_types.Position(1, 1)
+                    ),
+                ),
+                feed_types.Position(1, 0),
+                feed_types.Position(1, 2),
+                True,
             ),
         ),
     )
@@ -203,7 +213,8 @@
     ),
     'page': Parser(_parse_page, (_PAGE,)),
     'newest': Parser(
-        lambda data: store._decode(store_pages.NewestPage, data), (_NEWEST,)
+        lambda data: store_pages.decode(store_pages.NewestPage, data),
+        (_NEWEST,),
     ),
     'headers': Parser(
         _parse_headers, (b'id\n500\ni-1\n3,0,8,150\ns\n20\n1.5\n1\n2',)
