Keep records of crashes over a change of era

The complete list of a store that came back from an older copy lacks the latest records of crashes. Each gateway dropped them, so that a request that ends its targets was accepted by all again, and a record that had been deleted was back.

A gateway keeps its own crashes that the first list of a new era lacks, and writes them again with their age, also those whose copy does not say yet that the target has ended. Its own ones that it had deleted are deleted again. Those of others stay known for 5 s, in which their writers write them.

--- a/packages/core/src/dragonflyslip_core/request_crashes.py
+++ b/packages/core/src/dragonflyslip_core/request_crashes.py
@@ -22,6 +22,7 @@
 import dataclasses
 import enum
 
+from dragonflyslip_core import era_holds
 from dragonflyslip_core import placement
 from dragonflyslip_core import request_identity
 
@@ -44,6 +45,9 @@
 # A process that seems to run may be a new one under the same id. Its
 # registration shows that, if it is read within this time.
 RESTART_NOTICE_S = 15.0
+# Time in which the entries write again what the exchange has lost because it
+# came back from an older copy.
+REWRITE_S = 5.0
 # Bounds the memory that a failure of many targets, or a faulty entry, uses.
 MAX_CRASHES = 4096
 # One of so many records is dropped when there are too many.
@@ -106,6 +110,18 @@
 NO_CHAIN = Chain()
 
 
+@dataclasses.dataclass(frozen=True)
+class CrashReport:
+    """What the entries' exchange holds, or should hold, of a crash.
+
+    :param age_s: seconds since the response was lost.
+    """
+
+    crash: RequestCrash
+    age_s: float
+    state: ProcessState
+
+
 @dataclasses.dataclass
 class _Known:
     """A crash that this entry knows or suspects.
@@ -157,6 +173,10 @@
         self._paths: collections.Counter[str] = collections.Counter()
         self._count = 0
         self._trials_end_at: dict[str, float] = {}
+        # Keys of other entries' crashes that the exchange has lost.
+        self._lost = era_holds.EraHolds[tuple[str, str]](REWRITE_S)
+        # Own crashes that were deleted and that an older copy holds again.
+        self._deleted: list[RequestCrash] = []
 
     def __len__(self) -> int:
         """Return the number of known crashes."""
@@ -224,6 +244,8 @@
         :param age_s: seconds since the response was lost.
         :param shared: whether it came from the entries' exchange.
         """
+        if shared:
+            self._lost.release(crash.key)
         known = self._find(crash)
         if known is not None:
             self._update(known, crash, now, shared, state)
@@ -343,6 +365,7 @@
 
     def _drop(self, known: _Known) -> None:
         identity, target_life = known.crash.key
+        self._lost.release(known.crash.key)
         lives = self._by_identity[identity]
         del lives[target_life]
         self._count_path(known, -1)
@@ -358,20 +381,67 @@
             self._trials_end_at.pop(identity, None)
 
     def replace(
-        self,
-        listed: list[tuple[RequestCrash, float, ProcessState]],
-        now: float,
+        self, listed: list[CrashReport], now: float, era: int = 0
     ) -> None:
         """Apply a complete list of the records in the entries' exchange.
 
-        :param listed: each crash with its age in seconds and its state.
+        Crashes that the first list of a new era lacks stay known: own ones,
+        which this entry writes again, and for ``REWRITE_S`` those of others.
+
+        :param era: era of the list, see :class:`feeds.Position`.
         """
-        keys = {crash.key for crash, *_ in listed}
-        for known in self._all():
-            if known.shared and known.crash.key not in keys:
+        keys = {report.crash.key for report in listed}
+        missing = [
+            known
+            for known in self._all()
+            if known.shared and known.crash.key not in keys
+        ]
+        others = [k.crash.key for k in missing if k.crash.entry != self.entry]
+        is_new_era = self._lost.apply_page(others, keys, era, now)
+        if is_new_era:
+            for known in missing:
+                known.shared = known.crash.entry != self.entry
+            self._deleted = [
+                report.crash
+                for report in listed
+                if report.crash.entry == self.entry
+                and not self._counts_or_may(report.crash)
+            ]
+        for known in missing:
+            if known.shared and known.crash.key not in self._lost:
                 self.remove(*known.crash.key)
-        for crash, age_s, state in listed:
-            self.add(crash, now, age_s, True, state)
+        for report in listed:
+            if report.crash not in self._deleted:
+                self.add(report.crash, now, report.age_s, True, report.state)
+            known = self._find(report.crash)
+            if is_new_era and known is not None and known.shared:
+                # An older copy may lack that the target is known to have
+                # ended.
+                is_own = report.crash.entry == self.entry
+                known.shared = not is_own or known.state is report.state
+
+    def unshared(self, now: float) -> list[CrashReport]:
+        """Return own crashes that the exchange should hold and does not."""
+        return [
+            CrashReport(known.crash, now - known.at, known.state)
+            for known in self._all()
+            if known.crash.entry == self.entry
+            and known.state in COUNTED_STATES
+            and not known.shared
+        ]
+
+    def take_deleted(self) -> list[RequestCrash]:
+        """Return own crashes that an older copy of the exchange holds again.
+
+        They are to be deleted again. Each is returned once.
+        """
+        deleted, self._deleted = self._deleted, []
+        return [item for item in deleted if not self._counts_or_may(item)]
+
+    def _counts_or_may(self, crash: RequestCrash) -> bool:
+        """Return whether a crash is known and its target has not answered."""
+        known = self._find(crash)
+        return known is not None and known.state is not ProcessState.RUNNING
 
     def is_refused(self, identity: str) -> bool:
         """Return whether a request may be sent as a trial only."""
@@ -438,13 +508,17 @@
 
     def expire(self, now: float) -> list[RequestCrash]:
         """Drop and return the records that are too old."""
-        running = [
+        lost = set(self._lost.expire(now))
+        outdated = [
             known
             for known in self._all()
-            if known.state is ProcessState.RUNNING
-            and now - known.state_at > RESTART_NOTICE_S
+            if (known.shared and known.crash.key in lost)
+            or (
+                known.state is ProcessState.RUNNING
+                and now - known.state_at > RESTART_NOTICE_S
+            )
         ]
-        for known in running:
+        for known in outdated:
             self._drop(known)
         expired = [
             known for known in self._all() if now - known.at >= MEMORY_S
--- a/packages/core/tests/test_request_crashes.py
+++ b/packages/core/tests/test_request_crashes.py
@@ -121,11 +121,62 @@
         crash = fleet.crash(0, 0.0)
         fleet.tables[1].succeeded(KILLER)
         fleet.tables[1].replace(
-            [(crash, 5.0, request_crashes.ProcessState.ENDED)], 5.0
+            [request_crashes.CrashReport(crash, 5.0, State.ENDED)], 5.0
         )
         assert fleet.tables[1].depth(KILLER) == 0
 
 
+class TestEras:
+    """The exchange came back from an older copy."""
+
+    def report(self, crash, state=State.ENDED):
+        return request_crashes.CrashReport(crash, 1.0, state)
+
+    def test_lost_crashes_count_until_they_are_written_again(self, fleet):
+        # Guards against requests that crash targets and are accepted again
+        # because the store lost the records.
+        own, other = fleet.crash(0, 0.0), fleet.crash(1, 0.0)
+        table = fleet.tables[0]
+        table.replace([self.report(own), self.report(other)], 1.0, era=0)
+        assert table.unshared(1.0) == []
+        for now in (2.0, 2.1):
+            table.replace([], now, era=1)
+            assert len(table) == 2
+        assert table.unshared(2.5) == [
+            request_crashes.CrashReport(own, 2.5, State.ENDED)
+        ]
+        table.add(own, 3.0, shared=True)
+        assert table.unshared(3.0) == []
+        assert table.expire(2.1 + request_crashes.REWRITE_S) == []
+        assert len(table) == 1
+        # The other one's writer is gone.
+        table.replace([], 9.0, era=1)
+        assert len(table) == 0
+
+    @pytest.mark.parametrize('listed', [State.ENDED, State.MISSING])
+    def test_older_state_is_written_again(self, fleet, listed):
+        own = fleet.crash(0, 0.0)
+        table = fleet.tables[0]
+        table.replace([self.report(own)], 1.0, era=0)
+        table.replace([self.report(own, listed)], 2.0, era=1)
+        is_outdated = listed is State.MISSING
+        assert bool(table.unshared(2.0)) is is_outdated
+
+    def test_deleted_crash_is_deleted_again_once(self, fleet):
+        # Guards against a request that is refused again because of a record
+        # that its writer had deleted.
+        crash = fleet.crash(0, 0.0)
+        for number, table in enumerate(fleet.tables):
+            table.replace([self.report(crash)], 1.0, era=0)
+            table.remove(*crash.key)
+            for _ in range(2):
+                table.replace([self.report(crash)], 2.0, era=1)
+            is_own = number == 0
+            assert len(table) == (not is_own)
+            assert table.take_deleted() == [crash] * is_own
+            assert table.take_deleted() == []
+
+
 class TestTrials:
     def refuse(self, fleet):
         for _ in range(3):
--- a/packages/entry/src/dragonflyslip_entry/gateway/crash_reports.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/crash_reports.py
@@ -181,6 +181,7 @@
             self.crashes.replace(
                 [item for item in listed if item is not None],
                 self.loop.time(),
+                page.era,
             )
             return
         for record in crashes:
@@ -197,6 +198,17 @@
             for crash in expired:
                 self.writer.put(crash, None)
 
+    async def write_again(self) -> None:
+        """Write or delete again the records that a new era does not hold so.
+
+        See :class:`~dragonflyslip_entry.gateway.renewals.RecordOwner`.
+        """
+        for crash in self.crashes.take_deleted():
+            self.writer.put(crash, None)
+        for report in self.crashes.unshared(self.loop.time()):
+            ended = report.state is ProcessState.ENDED
+            self._write([report.crash], ended, report.age_s)
+
     async def close(self) -> None:
         """Write what is still suspected or not written yet, and stop."""
         await self.inquiries.close()
@@ -260,16 +272,22 @@
         self._write(crashes, True)
 
     def _write(
-        self, crashes: list[request_crashes.RequestCrash], ended: bool
+        self,
+        crashes: list[request_crashes.RequestCrash],
+        ended: bool,
+        age_s: float = 0.0,
     ) -> None:
-        """Write records of crashes that this gateway has seen."""
+        """Write records of crashes that this gateway has seen.
+
+        :param age_s: seconds since the crashes.
+        """
         for crash in crashes:
             if crash.entry != self.crashes.entry:
                 continue
             record = crash_records.CrashRecord(
                 depth=crash.depth,
                 entry=str(crash.entry),
-                at_ms=int(self.unix_time() * 1000),
+                at_ms=int((self.unix_time() - age_s) * 1000),
                 ended=ended,
             )
             self.writer.put(crash, msgspec.json.encode(record))
@@ -280,16 +298,18 @@
             return
         decoded = self._decode(record)
         if decoded is not None:
-            crash, age_s, state = decoded
-            self.crashes.add(crash, self.loop.time(), age_s, True, state)
+            self.crashes.add(
+                decoded.crash,
+                self.loop.time(),
+                decoded.age_s,
+                True,
+                decoded.state,
+            )
 
     def _decode(
         self, record: feeds.FeedRecord
-    ) -> tuple[request_crashes.RequestCrash, float, ProcessState] | None:
-        """Return a crash, its age in seconds and its state.
-
-        None if it is malformed.
-        """
+    ) -> request_crashes.CrashReport | None:
+        """Return what a record says of a crash, None if it is malformed."""
         if record.value is None:
             return None
         identity, life = crash_records.parse_key(record.key)
@@ -305,7 +325,7 @@
         age_s = max(0.0, self.unix_time() - value.at_ms / 1000)
         if age_s >= request_crashes.MEMORY_S:
             self._outdated.append(crash)
-        return crash, age_s, value.state
+        return request_crashes.CrashReport(crash, age_s, value.state)
 
 
 def _life_of(target: directory.Registration) -> str:
--- a/packages/entry/src/dragonflyslip_entry/gateway/feeds.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/feeds.py
@@ -97,7 +97,7 @@
             self.feeds[self.entries_feed].copy,
             endpoint,
         )
-        self.renewals = renewals.Renewals(board, (self.registry,))
+        self.renewals = renewals.Renewals(board, (self.registry, crashes))
         self._must_read = asyncio.Event()
 
     async def run(self) -> None:
