Keep domains and targets in force over a change of era

The decoder told the gateway which failure domains are out after each record, and which targets are registered, but not of which era the list is. The first list of a store that came back from an older copy put domains back into service and dropped targets that run.

The decoder passes lists with their era and single records as such; it keeps no state. The directory decides what the list of a new era means. TopologyController logs domains that stay out.

--- a/packages/entry/src/dragonflyslip_entry/gateway/adapters.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/adapters.py
@@ -109,9 +109,12 @@
         """Apply a manifest unless a newer one is in force."""
 
     def targets_listed(
-        self, registrations: list[directory.Registration]
+        self, registrations: list[directory.Registration], era: int
     ) -> None:
-        """Apply a complete list of the registered targets."""
+        """Apply a complete list of the registered targets.
+
+        :param era: era of the store that it is from.
+        """
 
     def target_registered(self, registration: directory.Registration) -> None:
         """Add or update one registration."""
@@ -119,8 +122,14 @@
     def target_removed(self, target_id: str) -> None:
         """Remove one registration."""
 
-    def domains_out_listed(self, domains: frozenset[str]) -> None:
-        """Apply the list of failure domains taken out of service."""
+    def domains_out_listed(self, domains: frozenset[str], era: int) -> None:
+        """Apply a complete list of the failure domains out of service.
+
+        :param era: as in :meth:`targets_listed`.
+        """
+
+    def domain_out_set(self, domain: str, out: bool) -> None:
+        """Take a failure domain out of service or put it back."""
 
     def record_skipped(self, key: str, reason: str) -> None:
         """Report a record that cannot be used."""
--- a/packages/entry/src/dragonflyslip_entry/gateway/topology.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/topology.py
@@ -60,11 +60,11 @@
             )
 
     def targets_listed(
-        self, registrations: list[directory.Registration]
+        self, registrations: list[directory.Registration], era: int
     ) -> None:
         """Apply a complete list of the registered targets."""
         for target_id in self.board.directory.replace(
-            registrations, self.clock()
+            registrations, self.clock(), era
         ):
             self._handle_removed(target_id)
         self.board.targets_listed = True
@@ -86,13 +86,29 @@
         if self.board.directory.remove(target_id, self.clock()):
             self._handle_removed(target_id)
 
-    def domains_out_listed(self, domains: frozenset[str]) -> None:
-        """Apply the list of failure domains taken out of service."""
-        known = set(self.board.directory.domains_out)
-        for domain in known | domains:
-            out = domain in domains
-            if self.board.directory.set_domain_out(domain, out):
-                logs.info('failure domain', domain=domain, out=out)
+    def domains_out_listed(self, domains: frozenset[str], era: int) -> None:
+        """Apply a complete list of the failure domains out of service."""
+        known = self.board.directory
+        held_before = known.held_domains
+        changed = known.list_domains_out(domains, self.clock(), era)
+        for domain in changed:
+            self._log_domain(domain)
+        for domain in known.held_domains:
+            if domain not in held_before:
+                logs.info(
+                    'failure domain stays out in a new era',
+                    domain=domain,
+                    s=directory.DOMAIN_HOLD_S,
+                )
+
+    def domain_out_set(self, domain: str, out: bool) -> None:
+        """Take a failure domain out of service or put it back."""
+        if self.board.directory.set_domain_out(domain, out):
+            self._log_domain(domain)
+
+    def _log_domain(self, domain: str) -> None:
+        out = domain in self.board.directory.domains_out
+        logs.info('failure domain', domain=domain, out=out)
 
     def record_skipped(self, key: str, reason: str) -> None:
         """Count and log a record that cannot be used."""
@@ -114,9 +130,11 @@
             logs.info('source regained', source=source)
 
     def expire(self) -> None:
-        """Remove targets whose lapsed registration was not renewed in time."""
+        """Apply what was delayed: removed targets, domains put back."""
         for target_id in self.board.directory.expire(self.clock()):
             self._handle_removed(target_id)
+        for domain in self.board.directory.expire_domains(self.clock()):
+            self._log_domain(domain)
 
     def _handle_removed(self, target_id: str) -> None:
         """Forget a removed target; only log it if its removal is delayed."""
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -41,6 +41,8 @@
 _FAULT_TESTS = 'tests/adapter/test_gateway_faults.py'
 _TOPOLOGY_TESTS = 'tests/adapter/test_topology.py'
 _RELAY_TESTS = 'tests/adapter/test_relays.py'
+_ERA_TESTS = 'tests/adapter/test_eras.py'
+_ERA_STORE_TESTS = 'tests/adapter/test_store_eras.py'
 _SLOW_LINK_TESTS = 'tests/adapter/test_slow_links.py'
 
 
@@ -662,7 +664,7 @@
     Mutation(
         'first-copy-from-a-provider-that-is-behind',
         f'{_GATEWAY}/relay.py',
-        'and not _is_fresh(state)',
+        'and not provider_links.is_fresh(state)',
         'and False',
         'tests/adapter/test_after_restart.py',
     ),
@@ -817,8 +819,8 @@
     Mutation(
         'gateway-lost-history',
         f'{_ADAPTER}/store.py',
-        'return await self.newest(feed)',
-        'return result.Failure(errors.StoreError("gone"))',
+        '                return await self.newest(feed)',
+        '                return result.Failure(errors.StoreError("gone"))',
         f'{_TOPOLOGY_TESTS}::TestOutages',
     ),
     Mutation(
@@ -859,7 +861,8 @@
     Mutation(
         'gateway-silent-reader',
         f'{_CORE}/waiting_reads.py',
-        'if heard_at < self.begun_at:\n            return read_at',
+        'if heard_at < self.begun_at or era != self.era:\n'
+        '            return read_at',
         'if heard_at < self.begun_at and now <= self.due_at + 0.4:\n'
         '            return now',
         f'{_RELAY_TESTS}::TestProviderFaults',
@@ -944,10 +947,101 @@
     Mutation(
         'gateway-feed-dropped',
         f'{_CORE}/feeds.py',
-        'complete = offset is None or offset < self._history_start',
-        'complete = offset is None',
+        'if position < self._history_start:',
+        'if False:',
         f'{_CORE_TESTS}/test_feeds.py',
     ),
+    Mutation(
+        'era-ignored-by-a-copy',
+        f'{_CORE}/feeds.py',
+        'if self.through is None or page.start > self.through:',
+        'if not self.through or page.start.offset > self.through.offset:',
+        f'{_CORE_TESTS}/test_feeds.py::TestEras',
+    ),
+    Mutation(
+        'era-ignored-by-a-provider',
+        f'{_CORE}/feeds.py',
+        'if position < self._history_start:',
+        'if position.offset < self._history_start.offset:',
+        f'{_CORE_TESTS}/test_feed_machine.py',
+    ),
+    Mutation(
+        'era-ignored-in-a-complete-page',
+        f'{_CORE}/feeds.py',
+        'self.through is not None and page.through < self.through:',
+        'self.through and page.through.offset < self.through.offset:',
+        f'{_CORE_TESTS}/test_feeds.py::TestEras',
+    ),
+    Mutation(
+        'era-holds-nothing',
+        f'{_CORE}/era_holds.py',
+        'is_new_era = self._era is not None and era > self._era',
+        'is_new_era = False',
+        f'{_CORE_TESTS}/test_directory.py::TestEras',
+    ),
+    Mutation(
+        'era-removal-forgotten',
+        f'{_CORE}/directory.py',
+        '        self._end_loss(target_id)\n        target = ',
+        '        target = ',
+        f'{_CORE_TESTS}/test_directory.py::TestEras',
+    ),
+    Mutation(
+        'era-lost-crashes-dropped',
+        f'{_CORE}/request_crashes.py',
+        'known.shared = known.crash.entry != self.entry',
+        'pass',
+        f'{_CORE_TESTS}/test_request_crashes.py::TestEras',
+    ),
+    Mutation(
+        'era-of-a-lagging-front',
+        f'{_ADAPTER}/store_eras.py',
+        'if era < newest:',
+        'if False:',
+        f'{_ERA_STORE_TESTS}::TestRead',
+    ),
+    Mutation(
+        'era-of-a-read-ignored',
+        f'{_ADAPTER}/store_eras.py',
+        'if expected is not None and era > expected:',
+        'if False:',
+        f'{_ERA_STORE_TESTS}::TestRead',
+    ),
+    Mutation(
+        'era-of-a-condition-ignored',
+        f'{_ADAPTER}/store.py',
+        'self._transfer(None if at is None else at.era),',
+        'self._transfer(None),',
+        f'{_ERA_STORE_TESTS}::TestAppend',
+    ),
+    Mutation(
+        'era-of-a-provider-ignored',
+        f'{_GATEWAY}/provider_links.py',
+        'return state.through.era < through.era',
+        'return False',
+        f'{_ERA_TESTS}::TestProviders',
+    ),
+    Mutation(
+        'era-read-goes-on',
+        f'{_GATEWAY}/followed_feeds.py',
+        'if self.wait is not None and self.wait.era < era:',
+        'if False:',
+        f'{_ERA_TESTS}::TestChange',
+    ),
+    Mutation(
+        'era-nothing-written-again',
+        f'{_GATEWAY}/feeds.py',
+        'if name == self.entries_feed:\n            self.renewals.begin()',
+        'pass',
+        f'{_ERA_TESTS}::TestWrittenAgain',
+    ),
+    Mutation(
+        'era-order-not-renewed',
+        f'{_GATEWAY}/registry.py',
+        'if order_changes and self.registered:',
+        'if False:',
+        f'{_ERA_TESTS}::TestWrittenAgain',
+    ),
     Mutation(
         'gateway-mute-provider',
         f'{_CORE}/providers.py',
