Tell a taken-over name from a former one over a change of era

A gateway that was cut off while another process took over its name saw the successor's registration for the first time in the complete page of the new era, took it for that of a former process, and wrote its own over it. The successor then counted itself as replaced.

A copy keeps the offsets of what it holds, so a former process's record lies before the own one and a successor's behind it. The registry compares these offsets.

--- a/packages/entry/src/dragonflyslip_entry/gateway/registry.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/registry.py
@@ -191,10 +191,10 @@
             self._is_replaced = False
             return True
         # A process that took over the name has registered later. One that had
-        # it before may be in the complete pages of a new era.
-        is_later = not is_listed or (
-            self._own_at.era == record.position.era
-            and self._own_at < record.position
+        # it before may be in the complete pages of a new era, at the offset
+        # that its record always had.
+        is_later = (
+            not is_listed or record.position.offset > self._own_at.offset
         )
         if record.value is not None and is_later:
             self._is_replaced = True
--- a/tests/adapter/test_eras.py
+++ b/tests/adapter/test_eras.py
@@ -281,9 +281,12 @@
         assert platform.store.topics[ENTRIES_TOPIC].end == appended
         await _wait_until_in_force(platform, gateways)
 
-    @pytest.mark.parametrize('is_replaced', [False, True])
+    @pytest.mark.parametrize(
+        ('is_replaced', 'is_known'),
+        [(False, False), (True, True), (True, False)],
+    )
     async def test_name_belongs_to_the_process_that_took_it_over(
-        self, platform, monkeypatch, is_replaced
+        self, platform, monkeypatch, is_replaced, is_known
     ):
         # Guards against processes of one name that write over each other.
         monkeypatch.setattr(renewals, 'SPREAD_S', 0.0)
@@ -298,8 +301,12 @@
         registry = gateway.feeds.registry
         if is_replaced:
             later = {**record, 'incarnation': 8}
+            platform.store.suppress_notifications = not is_known
             await platform.store.put(ENTRIES_TOPIC, 'gateway-1', later)
-            await platform.until(lambda: registry._own_record() is None)
+            if is_known:
+                await platform.until(lambda: registry._own_record() is None)
+            else:
+                saved = platform.store.save()
         await platform.store.restore(saved)
         # Another provider, or a history that is gone, may list it once more.
         platform.store.compact(ENTRIES_TOPIC)
