--- a/packages/operator/src/dragonflyslip_operator/log_lines.py
+++ b/packages/operator/src/dragonflyslip_operator/log_lines.py
@@ -28,7 +28,9 @@
         'source lost',
         'source regained',
         'failure domain',
+        'failure domain stays out in a new era',
         'older manifest ignored',
+        'store has come back in a new era',
         'log lines dropped',
     }
 )
