--- a/packages/entry/src/dragonflyslip_entry/gateway/adapters.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/adapters.py
@@ -109,9 +109,12 @@
         """Apply a manifest unless a newer one is in force."""
 
     def targets_listed(
-        self, registrations: list[directory.Registration]
+        self, registrations: list[directory.Registration], era: int
     ) -> None:
-        """Apply a complete list of the registered targets."""
+        """Apply a complete list of the registered targets.
+
+        :param era: era of the store that it is from.
+        """
 
     def target_registered(self, registration: directory.Registration) -> None:
         """Add or update one registration."""
@@ -119,8 +122,14 @@
     def target_removed(self, target_id: str) -> None:
         """Remove one registration."""
 
-    def domains_out_listed(self, domains: frozenset[str]) -> None:
-        """Apply the list of failure domains taken out of service."""
+    def domains_out_listed(self, domains: frozenset[str], era: int) -> None:
+        """Apply a complete list of the failure domains out of service.
+
+        :param era: as in :meth:`targets_listed`.
+        """
+
+    def domain_out_set(self, domain: str, out: bool) -> None:
+        """Take a failure domain out of service or put it back."""
 
     def record_skipped(self, key: str, reason: str) -> None:
         """Report a record that cannot be used."""
@@ -138,10 +147,15 @@
     A failed read may be retried.
 
     :ivar heard_at: loop time at which the store last began to respond to a
-        request for records or with the offset of a record.
+        request for records or with the offset of a record, in the newest
+        known era or a newer one.
+    :ivar era: newest known era of the store, which the gateway raises if it
+        learns of a newer one elsewhere. Responses of older eras come from a
+        part of the store that lags behind, and are failures.
     """
 
     heard_at: float
+    era: int
 
     async def newest(
         self, feed: str
@@ -151,17 +165,17 @@
     async def read(
         self,
         feed: str,
-        offset: int,
+        position: feeds.Position,
         wait_s: float,
         copy_bytes: int | None = None,
         on_response: collections.abc.Callable[[], None] | None = None,
     ) -> result.Result[feeds.ReadPage, core_errors.CoreError]:
-        """Return the records from an offset on.
+        """Return the records from a position on.
 
-        The page is complete if the log no longer holds that offset, or if the
-        newest record of each key is much shorter than all records from it on.
-        It ends before the end of the log if the read failed after some
-        records.
+        The page is complete if the log no longer holds that position, or if
+        the newest record of each key is much shorter than all records from it
+        on. It is then of the log's era, otherwise of the position's. It ends
+        before the end of the log if the read failed after some records.
 
         :param wait_s: how long to wait if there are no such records yet.
         :param copy_bytes: length of the newest records that the caller has.
@@ -171,14 +185,24 @@
         """
 
     async def append(
-        self, feed: str, key: str, value: bytes | None
-    ) -> result.Result[int, core_errors.CoreError]:
-        """Write one record and return its offset.
+        self,
+        feed: str,
+        key: str,
+        value: bytes | None,
+        at: feeds.Position | None = None,
+    ) -> result.Result[feeds.Position, core_errors.CoreError]:
+        """Write one record and return its position.
 
         After a failure the record may have been written, or may still
         appear later.
 
         :param value: None deletes the key.
+        :param at: write only if the log ends there. The failure is
+            :exc:`~core_errors.LogEndError` if it ends elsewhere, and the
+            record has not been written. It is
+            :exc:`~core_errors.LogEraError` if the log is of another era; the
+            record may then have been written, but not after the records that
+            the caller knew.
         """
 
     async def close(self) -> None:
