Move the subscribers of a gateway out of its relay

The gateways that copy from this one, the statuses and the pages sent to them are now gateway/subscribers.py.

--- a/packages/entry/src/dragonflyslip_entry/gateway/relay.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/relay.py
@@ -13,27 +13,21 @@
 from dragonflyslip_core import providers as provider_types
 from dragonflyslip_entry.gateway import board as board_types
 from dragonflyslip_entry.gateway import page_pulls
+from dragonflyslip_entry.gateway import subscribers as subscriber_types
 from dragonflyslip_entry import logs
 from dragonflyslip_entry import peer_links
 import dragonflyslip_wire as wire
 
 CONNECT_TIMEOUT_S = 0.3
 STATUS_PERIOD_S = 0.3
-# A page longer than this is sent only while few bytes wait for the network.
-# Subscribers that get none read the store, over links of their own.
-LONG_PAGE_BYTES = 16_384
-MAX_UNSENT_BYTES = 524_288
 # A provider that sends no status within this time has ended without closing
 # the connection.
 PROVIDER_TIMEOUT_S = 3.0
 # Subscribers renew their subscription, so that providers can drop those that
 # have ended.
 SUBSCRIBE_PERIOD_S = 3.0
-SUBSCRIBER_TIMEOUT_S = 10.0
 
-Copies = collections.abc.Mapping[str, feeds.FeedCopy]
 OnPage = collections.abc.Callable[[str, feeds.FeedPage], None]
-Ages = collections.abc.Callable[[float], dict[str, float]]
 
 
 @dataclasses.dataclass
@@ -86,18 +80,19 @@
         self,
         board: board_types.GatewayBoard,
         own_id: membership.EntryId,
-        copies: Copies,
+        copies: subscriber_types.Copies,
         on_page: OnPage,
-        ages: Ages,
+        ages: subscriber_types.Ages,
     ):
         self.board = board
         self.own_id = own_id
         self.copies = copies
         self.on_page = on_page
-        self.ages = ages
         self.loop = asyncio.get_running_loop()
         self.provider_selector = provider_types.ProviderSelector(())
-        self.subscribers: dict[peer_links.PeerLink, float] = {}
+        self.subscribers = subscriber_types.Subscribers(
+            board, own_id, copies, ages
+        )
         # Links that have not subscribed yet, and when they were opened.
         self._accepted: dict[peer_links.PeerLink, float] = {}
         self._links: dict[membership.EntryId, _ProviderLink] = {}
@@ -105,8 +100,6 @@
         self.pulls = page_pulls.PagePulls(copies)
         # Feeds whose first copy may come from a provider that is not fresh.
         self.unreadable: set[str] = set()
-        self._page_frames: dict[tuple[str, int | None], bytes] = {}
-        self._status_at = float('-inf')
         self._server: asyncio.Server | None = None
 
     async def listen(self, host: str, port: int) -> None:
@@ -136,19 +129,14 @@
             now, starting
         ):
             self._open_link(provider)
-        self._drop_stale_subscribers(now)
-        if now - self._status_at >= STATUS_PERIOD_S:
+        self._drop_unsubscribed(now)
+        self.subscribers.drop_stale(now)
+        if now - self.subscribers.announced_at >= STATUS_PERIOD_S:
             self.announce()
 
     def announce(self) -> None:
         """Send the state of all feeds to the subscribers."""
-        self._page_frames.clear()
-        self._status_at = self.loop.time()
-        if not self.subscribers:
-            return
-        frame = wire.encode_frame(self._status())
-        for link in self.subscribers:
-            link.send(frame)
+        self.subscribers.announce()
 
     def age_s(self, name: str, now: float) -> float:
         """Return the seconds since a provider confirmed a copy as current."""
@@ -178,9 +166,7 @@
         """
         if self._server is not None:
             self._server.close()
-        for link in self.subscribers:
-            link.close()
-        self.subscribers.clear()
+        self.subscribers.close()
 
     def close(self) -> None:
         """Close all links."""
@@ -209,16 +195,6 @@
             for provider_link in self._links.values()
         )
 
-    def _status(self) -> wire.FeedStatus:
-        ages = self.ages(self.loop.time())
-        states = tuple(
-            wire.FeedState(name, copy.through, ages[name])
-            for name, copy in self.copies.items()
-            if copy.through is not None
-        )
-        # Of the live gateways, only this one and its subscribers are counted.
-        return wire.FeedStatus(states, 1 + len(self.subscribers))
-
     def _check_provider(
         self, provider_link: _ProviderLink, now: float
     ) -> None:
@@ -307,9 +283,10 @@
     ) -> None:
         match message:
             case wire.FeedSubscribe():
-                self._accept_subscriber(link, message)
+                if self.subscribers.accept(link, message):
+                    self._accepted.pop(link, None)
             case wire.FeedPull():
-                self._send_page(link, message)
+                self.subscribers.send_page(link, message)
             case wire.FeedStatus():
                 self._handle_status(link, message)
             case wire.FeedPush():
@@ -325,55 +302,6 @@
         self._accepted[link] = self.loop.time()
         return link
 
-    def _accept_subscriber(
-        self, link: peer_links.PeerLink, message: wire.FeedSubscribe
-    ) -> None:
-        if message.provider != self.own_id:
-            # The process to which the sender wants to subscribe has ended.
-            link.send(wire.encode_frame(wire.Hello(self.own_id)))
-            return
-        known = link in self.subscribers
-        self._accepted.pop(link, None)
-        link.peer = message.sender
-        self.subscribers[link] = self.loop.time()
-        if not known:
-            link.send(wire.encode_frame(self._status()))
-
-    def _send_page(
-        self, link: peer_links.PeerLink, message: wire.FeedPull
-    ) -> None:
-        copy = self.copies.get(message.name)
-        page = None if copy is None else copy.changes_since(message.start)
-        if page is None:
-            return
-        key = message.name, message.start
-        frame = self._page_frames.get(key)
-        if frame is None:
-            try:
-                frame = wire.encode_frame(wire.FeedPush(message.name, page))
-            except wire.WireError as error:
-                # A subscriber that receives no page reads the log itself.
-                self.board.count('feed_pages_too_long')
-                logs.info(
-                    'page not sent', feed=message.name, reason=error.message
-                )
-                return
-            self._page_frames[key] = frame
-        if len(frame) > LONG_PAGE_BYTES and self._is_congested(link):
-            self.board.count('feed_pages_deferred')
-            return
-        self.board.count('feed_pages_sent')
-        link.send(frame)
-
-    def _is_congested(self, link: peer_links.PeerLink) -> bool:
-        """Return whether the network has too much to carry for a long page.
-
-        Pages that a slow link cannot carry would pile up on it, since a
-        subscriber that gets none asks again.
-        """
-        unsent_bytes = sum(item.unsent_bytes for item in self.subscribers)
-        return link.unsent_bytes > 0 or unsent_bytes > MAX_UNSENT_BYTES
-
     def _handle_status(
         self, link: peer_links.PeerLink, message: wire.FeedStatus
     ) -> None:
@@ -442,16 +370,11 @@
                 wire.encode_frame(wire.FeedPull(name, copy.through))
             )
 
-    def _drop_stale_subscribers(self, now: float) -> None:
-        for link, subscribed_at in list(self.subscribers.items()):
-            if not link.open or now - subscribed_at > SUBSCRIBER_TIMEOUT_S:
-                link.close()
-                del self.subscribers[link]
+    def _drop_unsubscribed(self, now: float) -> None:
         for link, accepted_at in list(self._accepted.items()):
-            if now - accepted_at > SUBSCRIBER_TIMEOUT_S:
+            if now - accepted_at > subscriber_types.SUBSCRIBER_TIMEOUT_S:
                 link.close()
                 del self._accepted[link]
-        self.board.fleet.record_count(1 + len(self.subscribers), now)
 
 
 def _is_fresh(state: wire.FeedState) -> bool:
--- a/tests/adapter/test_relays.py
+++ b/tests/adapter/test_relays.py
@@ -9,6 +9,7 @@
 from dragonflyslip_emulator import store as store_types
 from dragonflyslip_entry.gateway import feeds
 from dragonflyslip_entry.gateway import relay
+from dragonflyslip_entry.gateway import subscribers
 from dragonflyslip_testing import relay as network
 
 # A change must be in force at all gateways this long after it was accepted.
@@ -74,10 +75,10 @@
 
 def _stop_messages(gateway) -> None:
     """Stop all messages of a gateway to its subscribers, as if paused."""
-    silenced = gateway.feeds.relay
+    silenced = gateway.feeds.relay.subscribers
     silenced.announce = lambda: None
-    silenced._send_page = lambda link, message: None
-    silenced._accept_subscriber = lambda link, message: None
+    silenced.send_page = lambda link, message: None
+    silenced.accept = lambda link, message: False
 
 
 @contextlib.asynccontextmanager
@@ -288,7 +289,7 @@
         self, platform, monkeypatch
     ):
         # Guards against links that hold part of a frame for ever.
-        monkeypatch.setattr(relay, 'SUBSCRIBER_TIMEOUT_S', 0.3)
+        monkeypatch.setattr(subscribers, 'SUBSCRIBER_TIMEOUT_S', 0.3)
         gateways = await _start(platform, 1)
         host, _, port = gateways[0].options.peer_listen.rpartition(':')
         reader, writer = await asyncio.open_connection(host, int(port))
--- a/tests/adapter/test_slow_links.py
+++ b/tests/adapter/test_slow_links.py
@@ -12,7 +12,7 @@
 from dragonflyslip_core import transfers
 from dragonflyslip_emulator import store as store_types
 from dragonflyslip_entry.gateway import page_pulls
-from dragonflyslip_entry.gateway import relay as relay_types
+from dragonflyslip_entry.gateway import subscribers
 from dragonflyslip_entry import peer_links
 from dragonflyslip_testing import relay as network
 import dragonflyslip_wire as wire
@@ -347,9 +347,9 @@
         await platform.publish()
         gateways = [await platform.add_gateway() for _ in range(GATEWAYS)]
         await asyncio.sleep(1.0)
-        monkeypatch.setattr(relay_types, 'MAX_UNSENT_BYTES', -1)
+        monkeypatch.setattr(subscribers, 'MAX_UNSENT_BYTES', -1)
         # Manifests become short when they are packed.
-        monkeypatch.setattr(relay_types, 'LONG_PAGE_BYTES', 0)
+        monkeypatch.setattr(subscribers, 'LONG_PAGE_BYTES', 0)
         await _publish_long_manifest(platform, 'casebook')
         async with asyncio.timeout(IN_FORCE_S):
             while any(
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -964,7 +964,7 @@
     ),
     Mutation(
         'gateway-replaced-provider',
-        f'{_GATEWAY}/relay.py',
+        f'{_GATEWAY}/subscribers.py',
         'if message.provider != self.own_id:',
         'if False:',
         _RELAY_TESTS,
