Let a hello name its recipient and ask for an answer

Links between any two gateways must not take a process that took over an address for the gateway registered there, and must notice a peer that no longer answers. A hello can therefore name the process that it is meant for, and ask for a hello in return.

The fields are added at the end of the message.

--- a/packages/wire/src/dragonflyslip_wire/messages.py
+++ b/packages/wire/src/dragonflyslip_wire/messages.py
@@ -52,14 +52,20 @@
 
 @dataclasses.dataclass(frozen=True)
 class Hello:
-    """First message on a connection.
+    """First message on a connection; also checks whether the peer answers.
 
     :param caller_port: port on which the sender serves callers; 0 if none.
+    :param recipient: the entry that the sender expects to be the recipient;
+        None if any may be.
+    :param wants_reply: whether the recipient is to answer with a
+        :class:`Hello` of its own.
     """
 
     sender: membership.EntryId
     failure_domain: str = ''
     caller_port: int = 0
+    recipient: membership.EntryId | None = None
+    wants_reply: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -430,6 +436,9 @@
         message.failure_domain, 'failure domain'
     )
     builder.callerPort = message.caller_port
+    if message.recipient is not None:
+        _write_entry_id(builder.init('recipient'), message.recipient)
+    builder.wantsReply = message.wants_reply
 
 
 def _read_hello(reader) -> Hello:
@@ -437,6 +446,12 @@
         sender=_read_entry_id(reader.sender),
         failure_domain=_check_text(reader.failureDomain, 'failure domain'),
         caller_port=reader.callerPort,
+        recipient=(
+            _read_entry_id(reader.recipient)
+            if reader._has('recipient')
+            else None
+        ),
+        wants_reply=reader.wantsReply,
     )
 
 
--- a/packages/wire/src/dragonflyslip_wire/peer.capnp
+++ b/packages/wire/src/dragonflyslip_wire/peer.capnp
@@ -33,6 +33,10 @@
   # Port on which the sender serves callers, at the address of its peer port.
   # 0 if it serves none.
   callerPort @2 :UInt16;
+  # The entry that the sender expects to be the recipient; null if any may be.
+  recipient @3 :EntryId;
+  # Whether the recipient is to answer with a hello of its own.
+  wantsReply @4 :Bool;
 }
 
 struct Heartbeat {
--- a/packages/wire/tests/test_frames.py
+++ b/packages/wire/tests/test_frames.py
@@ -48,7 +48,14 @@
 )
 # Feed messages are left out.
 any_message = strategies.one_of(
-    strategies.builds(wire.Hello, entry_ids, names, uint16),
+    strategies.builds(
+        wire.Hello,
+        entry_ids,
+        names,
+        uint16,
+        strategies.none() | entry_ids,
+        strategies.booleans(),
+    ),
     strategies.builds(
         wire.Heartbeat,
         strategies.builds(
