Move the checks of message fields into a module of their own

The messages of rollouts get a module of their own, which needs the checks of names and texts that messages.py kept to itself. They move to fields.py; nothing else changes.

--- a/packages/wire/src/dragonflyslip_wire/messages.py
+++ b/packages/wire/src/dragonflyslip_wire/messages.py
@@ -2,7 +2,6 @@
 
 import dataclasses
 import enum
-import math
 import pathlib
 import typing
 import zlib
@@ -14,6 +13,7 @@
 from dragonflyslip_core import suspects
 from dragonflyslip_core import target_facts
 from dragonflyslip_wire import errors
+from dragonflyslip_wire import fields
 
 PROTOCOL_VERSION = 1
 KEY_HASH_BYTES = 16
@@ -30,9 +30,6 @@
 """Largest size of the records of one feed page, before compression."""
 
 _FIRST_SEGMENT_WORDS = 1_024
-_UNKNOWN_AGE_MS = 0xFFFFFFFF
-_MAX_TEXT_CHARS = 256
-_MAX_DIGEST_BYTES = 64
 _MAX_HEADERS = 1_000
 
 _schema = capnp.load(str(pathlib.Path(__file__).with_name('peer.capnp')))
@@ -305,34 +302,6 @@
     return (str(error).splitlines() or [''])[0][:200]
 
 
-def _to_ms(age_s: float, round_up: bool) -> int:
-    milliseconds = age_s * 1000
-    if not milliseconds < _UNKNOWN_AGE_MS - 1:
-        return _UNKNOWN_AGE_MS - 1
-    whole = math.ceil(milliseconds) if round_up else int(milliseconds)
-    return max(0, whole)
-
-
-def _check_text(value: str, what: str) -> str:
-    if len(value) > _MAX_TEXT_CHARS:
-        raise errors.MessageError(
-            f'{what} is longer than {_MAX_TEXT_CHARS} characters'
-        )
-    return value
-
-
-def _check_name(value: str, what: str) -> str:
-    if not value:
-        raise errors.MessageError(f'{what} is empty')
-    return _check_text(value, what)
-
-
-def _check_digest(value: bytes, what: str) -> bytes:
-    if len(value) > _MAX_DIGEST_BYTES:
-        raise errors.MessageError(f'{what} is too long')
-    return bytes(value)
-
-
 def _check_key_hash(value: bytes) -> bytes:
     if len(value) != KEY_HASH_BYTES:
         raise errors.MessageError(
@@ -358,17 +327,6 @@
         raise errors.MessageError(f'part {part} of {parts} does not exist')
 
 
-def _write_entry_id(builder, entry_id: membership.EntryId) -> None:
-    builder.name = _check_name(entry_id.name, 'entry name')
-    builder.incarnation = entry_id.incarnation
-
-
-def _read_entry_id(reader) -> membership.EntryId:
-    return membership.EntryId(
-        _check_name(reader.name, 'entry name'), reader.incarnation
-    )
-
-
 def _write_facts(
     builder, facts: typing.Sequence[target_facts.TargetFact]
 ) -> None:
@@ -376,20 +334,20 @@
         return
     items = builder.init('targets', len(facts))
     for item, fact in zip(items, facts, strict=True):
-        item.targetId = _check_name(fact.target_id, 'target id')
-        item.bootId = _check_name(fact.boot_id, 'boot id')
+        item.targetId = fields.check_name(fact.target_id, 'target id')
+        item.bootId = fields.check_name(fact.boot_id, 'boot id')
         item.warm = fact.warm
         item.level = fact.level
         # Rounded up: a fact that looks older cannot cause a false suspicion
         # that the target has restarted.
-        item.ageMs = _to_ms(fact.age_s, round_up=True)
+        item.ageMs = fields.to_ms(fact.age_s, round_up=True)
 
 
 def _read_facts(reader) -> tuple[target_facts.TargetFact, ...]:
     return tuple(
         target_facts.TargetFact(
-            target_id=_check_name(item.targetId, 'target id'),
-            boot_id=_check_name(item.bootId, 'boot id'),
+            target_id=fields.check_name(item.targetId, 'target id'),
+            boot_id=fields.check_name(item.bootId, 'boot id'),
             warm=item.warm,
             level=item.level,
             age_s=item.ageMs / 1000,
@@ -403,11 +361,13 @@
         return
     items = builder.init('marks', len(marks))
     for item, mark in zip(items, marks, strict=True):
-        item.targetId = _check_name(mark.target_id, 'target id')
-        item.bootId = _check_text(mark.boot_id, 'boot id')
-        item.failureDomain = _check_text(mark.failure_domain, 'failure domain')
-        item.ageMs = _to_ms(mark.age_s, round_up=False)
-        item.ttlMs = _to_ms(mark.ttl_s, round_up=True)
+        item.targetId = fields.check_name(mark.target_id, 'target id')
+        item.bootId = fields.check_text(mark.boot_id, 'boot id')
+        item.failureDomain = fields.check_text(
+            mark.failure_domain, 'failure domain'
+        )
+        item.ageMs = fields.to_ms(mark.age_s, round_up=False)
+        item.ttlMs = fields.to_ms(mark.ttl_s, round_up=True)
         fingerprints = item.init('fingerprints', len(mark.fingerprints))
         for number, fingerprint in enumerate(mark.fingerprints):
             fingerprints[number] = bytes.fromhex(fingerprint)
@@ -416,13 +376,15 @@
 def _read_marks(reader) -> tuple[suspects.CrashMark, ...]:
     return tuple(
         suspects.CrashMark(
-            target_id=_check_name(item.targetId, 'target id'),
-            boot_id=_check_text(item.bootId, 'boot id'),
-            failure_domain=_check_text(item.failureDomain, 'failure domain'),
+            target_id=fields.check_name(item.targetId, 'target id'),
+            boot_id=fields.check_text(item.bootId, 'boot id'),
+            failure_domain=fields.check_text(
+                item.failureDomain, 'failure domain'
+            ),
             age_s=item.ageMs / 1000,
             ttl_s=item.ttlMs / 1000,
             fingerprints=tuple(
-                _check_digest(fingerprint, 'fingerprint').hex()
+                fields.check_digest(fingerprint, 'fingerprint').hex()
                 for fingerprint in item.fingerprints
             ),
         )
@@ -431,23 +393,25 @@
 
 
 def _write_hello(builder, message: Hello) -> None:
-    _write_entry_id(builder.init('sender'), message.sender)
-    builder.failureDomain = _check_text(
+    fields.write_entry_id(builder.init('sender'), message.sender)
+    builder.failureDomain = fields.check_text(
         message.failure_domain, 'failure domain'
     )
     builder.callerPort = message.caller_port
     if message.recipient is not None:
-        _write_entry_id(builder.init('recipient'), message.recipient)
+        fields.write_entry_id(builder.init('recipient'), message.recipient)
     builder.wantsReply = message.wants_reply
 
 
 def _read_hello(reader) -> Hello:
     return Hello(
-        sender=_read_entry_id(reader.sender),
-        failure_domain=_check_text(reader.failureDomain, 'failure domain'),
+        sender=fields.read_entry_id(reader.sender),
+        failure_domain=fields.check_text(
+            reader.failureDomain, 'failure domain'
+        ),
         caller_port=reader.callerPort,
         recipient=(
-            _read_entry_id(reader.recipient)
+            fields.read_entry_id(reader.recipient)
             if reader._has('recipient')
             else None
         ),
@@ -457,23 +421,25 @@
 
 def _write_heartbeat(builder, message: Heartbeat) -> None:
     member = message.member
-    _write_entry_id(builder.init('sender'), member.entry_id)
+    fields.write_entry_id(builder.init('sender'), member.entry_id)
     builder.sequence = member.sequence
     builder.echo = member.echo
-    builder.viewDigest = _check_digest(member.view_digest, 'view digest')
+    builder.viewDigest = fields.check_digest(member.view_digest, 'view digest')
     # Rounded down: entries agree on their membership by vote, and a view (the
     # sender's list of members) counts as a vote once it has been unchanged for
     # long enough. One that looks younger counts later, never too early.
-    builder.viewAgeMs = _to_ms(member.view_age_s, round_up=False)
+    builder.viewAgeMs = fields.to_ms(member.view_age_s, round_up=False)
     builder.draining = member.draining
     builder.configThrough = message.config_through
-    builder.configDigest = _check_digest(
+    builder.configDigest = fields.check_digest(
         message.config_digest, 'config digest'
     )
     if message.log_read_age_s is None:
-        builder.logReadAgeMs = _UNKNOWN_AGE_MS
+        builder.logReadAgeMs = fields.UNKNOWN_AGE_MS
     else:
-        builder.logReadAgeMs = _to_ms(message.log_read_age_s, round_up=True)
+        builder.logReadAgeMs = fields.to_ms(
+            message.log_read_age_s, round_up=True
+        )
     _write_facts(builder, message.targets)
     _write_marks(builder, message.marks)
 
@@ -482,18 +448,20 @@
     log_read_age_ms = reader.logReadAgeMs
     return Heartbeat(
         member=membership.MemberReport(
-            entry_id=_read_entry_id(reader.sender),
+            entry_id=fields.read_entry_id(reader.sender),
             sequence=reader.sequence,
             echo=reader.echo,
-            view_digest=_check_digest(reader.viewDigest, 'view digest'),
+            view_digest=fields.check_digest(reader.viewDigest, 'view digest'),
             view_age_s=reader.viewAgeMs / 1000,
             draining=reader.draining,
         ),
         config_through=reader.configThrough,
-        config_digest=_check_digest(reader.configDigest, 'config digest'),
+        config_digest=fields.check_digest(
+            reader.configDigest, 'config digest'
+        ),
         log_read_age_s=(
             None
-            if log_read_age_ms == _UNKNOWN_AGE_MS
+            if log_read_age_ms == fields.UNKNOWN_AGE_MS
             else log_read_age_ms / 1000
         ),
         targets=_read_facts(reader),
@@ -530,7 +498,7 @@
 def _write_config_push(builder, message: ConfigPush) -> None:
     _check_part(message.part, message.parts)
     builder.through = message.through
-    builder.digest = _check_digest(message.digest, 'config digest')
+    builder.digest = fields.check_digest(message.digest, 'config digest')
     builder.body = message.body
     builder.part = message.part
     builder.parts = message.parts
@@ -540,7 +508,7 @@
     _check_part(reader.part, reader.parts)
     return ConfigPush(
         through=reader.through,
-        digest=_check_digest(reader.digest, 'config digest'),
+        digest=fields.check_digest(reader.digest, 'config digest'),
         body=bytes(reader.body),
         part=reader.part,
         parts=reader.parts,
@@ -548,21 +516,21 @@
 
 
 def _write_answer_query(builder, message: AnswerQuery) -> None:
-    builder.service = _check_name(message.service, 'service')
+    builder.service = fields.check_name(message.service, 'service')
     builder.keyHash = _check_key_hash(message.key_hash)
-    builder.claimId = _check_name(message.claim_id, 'claim id')
+    builder.claimId = fields.check_name(message.claim_id, 'claim id')
 
 
 def _read_answer_query(reader) -> AnswerQuery:
     return AnswerQuery(
-        service=_check_name(reader.service, 'service'),
+        service=fields.check_name(reader.service, 'service'),
         key_hash=_check_key_hash(reader.keyHash),
-        claim_id=_check_name(reader.claimId, 'claim id'),
+        claim_id=fields.check_name(reader.claimId, 'claim id'),
     )
 
 
 def _write_answer(builder, message: Answer) -> None:
-    builder.claimId = _check_name(message.claim_id, 'claim id')
+    builder.claimId = fields.check_name(message.claim_id, 'claim id')
     builder.state = message.state.value
     builder.status = message.status
     builder.body = _check_body(message.body)
@@ -575,7 +543,7 @@
 
 def _read_answer(reader) -> Answer:
     return Answer(
-        claim_id=_check_name(reader.claimId, 'claim id'),
+        claim_id=fields.check_name(reader.claimId, 'claim id'),
         state=AnswerState(str(reader.state)),
         status=reader.status,
         headers=tuple(
@@ -590,24 +558,25 @@
 
 
 def _write_feed_subscribe(builder, message: FeedSubscribe) -> None:
-    _write_entry_id(builder.init('sender'), message.sender)
-    _write_entry_id(builder.init('provider'), message.provider)
+    fields.write_entry_id(builder.init('sender'), message.sender)
+    fields.write_entry_id(builder.init('provider'), message.provider)
 
 
 def _read_feed_subscribe(reader) -> FeedSubscribe:
     return FeedSubscribe(
-        _read_entry_id(reader.sender), _read_entry_id(reader.provider)
+        fields.read_entry_id(reader.sender),
+        fields.read_entry_id(reader.provider),
     )
 
 
 def _write_feed_status(builder, message: FeedStatus) -> None:
     items = builder.init('feeds', len(message.feeds))
     for item, state in zip(items, message.feeds, strict=True):
-        item.name = _check_name(state.name, 'feed')
+        item.name = fields.check_name(state.name, 'feed')
         item.through = state.through
         # Rounded up: if the state looks too old, the recipient asks another
         # entry.
-        item.ageMs = _to_ms(state.age_s, round_up=True)
+        item.ageMs = fields.to_ms(state.age_s, round_up=True)
     builder.entries = message.entries
 
 
@@ -615,7 +584,9 @@
     return FeedStatus(
         tuple(
             FeedState(
-                _check_name(item.name, 'feed'), item.through, item.ageMs / 1000
+                fields.check_name(item.name, 'feed'),
+                item.through,
+                item.ageMs / 1000,
             )
             for item in reader.feeds
         ),
@@ -624,19 +595,19 @@
 
 
 def _write_feed_pull(builder, message: FeedPull) -> None:
-    builder.name = _check_name(message.name, 'feed')
+    builder.name = fields.check_name(message.name, 'feed')
     builder.hasStart = message.start is not None
     builder.start = message.start or 0
 
 
 def _read_feed_pull(reader) -> FeedPull:
     start = reader.start if reader.hasStart else None
-    return FeedPull(_check_name(reader.name, 'feed'), start)
+    return FeedPull(fields.check_name(reader.name, 'feed'), start)
 
 
 def _write_feed_push(builder, message: FeedPush) -> None:
     page = message.page
-    builder.name = _check_name(message.name, 'feed')
+    builder.name = fields.check_name(message.name, 'feed')
     builder.start = page.start
     builder.through = page.through
     builder.complete = page.complete
@@ -645,7 +616,7 @@
     )
     items = content.init('records', len(page.records))
     for item, record in zip(items, page.records, strict=True):
-        item.key = _check_text(record.key, 'key')
+        item.key = fields.check_text(record.key, 'key')
         item.value = record.value or b''
         item.offset = record.offset
         item.dropped = record.value is None
@@ -675,7 +646,7 @@
     )
     records = tuple(
         feeds.FeedRecord(
-            _check_text(item.key, 'key'),
+            fields.check_text(item.key, 'key'),
             None if item.dropped else bytes(item.value),
             item.offset,
         )
@@ -684,7 +655,7 @@
     page = feeds.FeedPage(
         records, reader.start, reader.through, reader.complete
     )
-    return FeedPush(_check_name(reader.name, 'feed'), page)
+    return FeedPush(fields.check_name(reader.name, 'feed'), page)
 
 
 class _Codec(typing.NamedTuple):
