Link any two registered gateways by name

Rollouts and quotas exchange messages between gateways that do not copy feeds from each other. PeerNetwork sends to a gateway by its name, over a link that it opens on demand, uses in both directions and closes when idle. Both sides say who they are and whom they expect before anything else is sent, so a process that took over an address, or one that was replaced, neither gets messages nor is heard. FeedController passes the registrations on; the names set on the board are as before.

The port for other gateways moves from the relay to PeerPort, which hands a link to its owner by the first message: a subscription to the relay, a hello to the network. The links of the network are not counted as live gateways. The daemon opens the port before it registers; if the port is in use the process ends with exit code 1 and the error, like for its other ports.

--- a/packages/entry/src/dragonflyslip_entry/gateway/daemon.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/daemon.py
@@ -9,6 +9,7 @@
 
 from aiohttp import web
 
+from dragonflyslip_core import membership
 from dragonflyslip_entry import caller_server
 from dragonflyslip_entry import drain
 from dragonflyslip_entry import flag_settings
@@ -18,6 +19,8 @@
 from dragonflyslip_entry.gateway import feeds
 from dragonflyslip_entry.gateway import handling
 from dragonflyslip_entry.gateway import metrics
+from dragonflyslip_entry.gateway import peer_network
+from dragonflyslip_entry.gateway import peer_port
 from dragonflyslip_entry.gateway import probing
 from dragonflyslip_entry.gateway import sending
 from dragonflyslip_entry.gateway import settings as settings_types
@@ -25,6 +28,7 @@
 from dragonflyslip_entry.gateway import target_selection
 from dragonflyslip_entry.gateway import topology
 from dragonflyslip_entry import logs
+import dragonflyslip_wire as wire
 
 # The load balancer in front removes an instance after two failed readiness
 # checks, one a second; until then requests still arrive. The first request of
@@ -72,15 +76,25 @@
         self.crashes = crash_reports.CrashReporter(
             self.board, prober, self.log, adapter.entries_feed, time.time
         )
+        own_id = membership.EntryId(options.name, secrets.randbits(64))
+        self.network = peer_network.PeerNetwork(self.board, own_id)
         self.feeds = feeds.FeedController(
             self.board,
             adapter,
             self.log,
             self.topology,
             self.crashes,
-            options.name,
+            self.network,
+            own_id,
             options.peer_listen,
         )
+        self.peer_port = peer_port.PeerPort(
+            self.board,
+            {
+                wire.FeedSubscribe: self.feeds.relay.subscribers,
+                wire.Hello: self.network,
+            },
+        )
         self.handler = handling.RequestHandler(
             self.board,
             target_selection.TargetSelector(self.board, prober),
@@ -112,6 +126,9 @@
         listener = await self.loop.create_server(
             self.server, host, port, backlog=_BACKLOG, reuse_address=True
         )
+        await self.peer_port.listen(
+            *flag_settings.split_endpoint(self.options.peer_listen)
+        )
         self._start(self.feeds.run())
         self._start(self._run_maintenance())
         await self.stopping.wait()
@@ -129,6 +146,7 @@
         )
         self.board.draining = True
         self.handler.answer_by(schedule.answer_at)
+        self.peer_port.close()
         self._start(self.feeds.leave())
         await asyncio.sleep(schedule.close_idle_at - self.loop.time())
         await self.server.receive_arrived()
@@ -150,6 +168,7 @@
             await runner.cleanup()
         self.pools.close()
         self.feeds.close()
+        self.network.close()
         await self.crashes.close()
         await self.log.close()
         self.server.log_unsent_data()
@@ -167,6 +186,8 @@
         self.topology.expire()
         self.crashes.expire(self.feeds.read_decision.reads)
         self.pools.close_idle(self.loop.time())
+        self.peer_port.update(self.loop.time())
+        self.network.update(self.loop.time())
         logs.flush_summary(self.loop.time())
 
     async def _start_http_server(
--- a/packages/entry/src/dragonflyslip_entry/gateway/entry_records.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/entry_records.py
@@ -1,8 +1,13 @@
 """Records with which the gateways register in a feed of the platform."""
 
+import collections.abc
+import dataclasses
+import typing
+
 import msgspec
 
 from dragonflyslip_core import feeds
+from dragonflyslip_core import membership
 from dragonflyslip_entry import flag_settings
 from dragonflyslip_entry.gateway import crash_records
 
@@ -31,15 +36,43 @@
 ).decode
 
 
-def is_valid(record: feeds.FeedRecord) -> bool:
-    """Return whether a record registers a gateway."""
-    if record.value is None:
-        return False
-    try:
-        decode(record.value)
-    except (msgspec.DecodeError, RecursionError):
-        return False
-    return True
+@dataclasses.dataclass(frozen=True)
+class RegisteredGateway:
+    """A gateway that is registered.
+
+    :param host: IP address where it accepts links of other gateways.
+    :param port: port where it accepts links of other gateways.
+    """
+
+    entry_id: membership.EntryId
+    failure_domain: str
+    host: str
+    port: int
+
+    @classmethod
+    def from_record(cls, record: feeds.FeedRecord) -> typing.Self | None:
+        """Return the gateway that a record registers, None if it does not."""
+        if record.value is None:
+            return None
+        try:
+            entry = decode(record.value)
+        except (msgspec.DecodeError, RecursionError):
+            return None
+        host, port = flag_settings.split_endpoint(entry.endpoint)
+        entry_id = membership.EntryId(record.key, entry.incarnation)
+        return cls(entry_id, entry.failure_domain, host, port)
+
+
+class RegistrationSink(typing.Protocol):
+    """Follows which gateways are registered."""
+
+    def set_gateways(
+        self, gateways: collections.abc.Mapping[str, RegisteredGateway]
+    ) -> None:
+        """Replace the registered gateways.
+
+        :param gateways: all of them by name; may change after the call.
+        """
 
 
 def is_gateway(record: feeds.FeedRecord) -> bool:
--- a/packages/entry/src/dragonflyslip_entry/gateway/feeds.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/feeds.py
@@ -7,7 +7,6 @@
 import asyncio
 import dataclasses
 import random
-import secrets
 
 import msgspec
 from returns import result
@@ -69,7 +68,8 @@
     """Keeps copies of all feeds current and passes changes to the decoder.
 
     :param crashes: gets the records of requests that crash targets.
-    :param name: name of this gateway.
+    :param registrations: gets the registered gateways.
+    :param own_id: id of this gateway.
     :param endpoint: IP:PORT at which other gateways reach it.
     """
 
@@ -80,7 +80,8 @@
         log: adapters.RecordLog,
         sink: adapters.TopologySink,
         crashes: crash_reports.CrashReporter,
-        name: str,
+        registrations: entry_records.RegistrationSink,
+        own_id: membership.EntryId,
         endpoint: str,
     ):
         self.board = board
@@ -89,7 +90,8 @@
         self.decoder = adapter.open_decoder(sink)
         self.crashes = crashes
         self.entries_feed = adapter.entries_feed
-        self.own_id = membership.EntryId(name, secrets.randbits(64))
+        self.registrations = registrations
+        self.own_id = own_id
         self.endpoint = endpoint
         self.loop = asyncio.get_running_loop()
         self.read_decision = provider_types.ReadDecision()
@@ -104,13 +106,15 @@
             self._ages,
         )
         self.registered = False
-        self._gateways: set[str] = set()
+        self._gateways: dict[str, entry_records.RegisteredGateway] = {}
         self._must_read = asyncio.Event()
 
     async def run(self) -> None:
-        """Register this gateway and update the copies until cancelled."""
-        host, port = flag_settings.split_endpoint(self.endpoint)
-        await self.relay.listen(host, port)
+        """Register this gateway and update the copies until cancelled.
+
+        The port for other gateways must be open: they connect to it as soon
+        as this gateway is registered.
+        """
         async with asyncio.TaskGroup() as group:
             group.create_task(self._register())
             group.create_task(self._run_updates())
@@ -122,7 +126,7 @@
 
         This gateway goes on following the feeds.
         """
-        self.relay.stop_serving()
+        self.relay.subscribers.close()
         outcome = await self.log.append(
             self.entries_feed, self.own_id.name, None
         )
@@ -417,8 +421,10 @@
             if not entry_records.is_gateway(record):
                 continue
             self.relay.registration_ended(record.key, record.offset)
-            if entry_records.is_valid(record):
-                self._gateways.add(record.key)
+            gateway = entry_records.RegisteredGateway.from_record(record)
+            if gateway is not None:
+                self._gateways[record.key] = gateway
             else:
-                self._gateways.discard(record.key)
+                self._gateways.pop(record.key, None)
         self.board.set_registered_entries(frozenset(self._gateways))
+        self.registrations.set_gateways(self._gateways)
--- a/packages/entry/src/dragonflyslip_entry/gateway/relay.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/relay.py
@@ -93,20 +93,11 @@
         self.subscribers = subscriber_types.Subscribers(
             board, own_id, copies, ages
         )
-        # Links that have not subscribed yet, and when they were opened.
-        self._accepted: dict[peer_links.PeerLink, float] = {}
         self._links: dict[membership.EntryId, _ProviderLink] = {}
         self._connecting: set[asyncio.Task[None]] = set()
         self.pulls = page_pulls.PagePulls(copies)
         # Feeds whose first copy may come from a provider that is not fresh.
         self.unreadable: set[str] = set()
-        self._server: asyncio.Server | None = None
-
-    async def listen(self, host: str, port: int) -> None:
-        """Listen for subscribers."""
-        self._server = await self.loop.create_server(
-            self._accept, host, port, reuse_address=True
-        )
 
     def follow(self, providers: list[provider_types.Provider]) -> None:
         """Copy from the best of these from the next :meth:`update` on.
@@ -129,7 +120,6 @@
             now, starting
         ):
             self._open_link(provider)
-        self._drop_unsubscribed(now)
         self.subscribers.drop_stale(now)
         if now - self.subscribers.announced_at >= STATUS_PERIOD_S:
             self.announce()
@@ -159,18 +149,9 @@
             if provider_link is not None:
                 provider_link.link.close()
 
-    def stop_serving(self) -> None:
-        """Stop listening and close the links to subscribers.
-
-        They subscribe to other gateways instead.
-        """
-        if self._server is not None:
-            self._server.close()
-        self.subscribers.close()
-
     def close(self) -> None:
         """Close all links."""
-        self.stop_serving()
+        self.subscribers.close()
         for task in self._connecting:
             task.cancel()
         for provider_link in self._links.values():
@@ -282,11 +263,6 @@
         self, link: peer_links.PeerLink, message: wire.Message
     ) -> None:
         match message:
-            case wire.FeedSubscribe():
-                if self.subscribers.accept(link, message):
-                    self._accepted.pop(link, None)
-            case wire.FeedPull():
-                self.subscribers.send_page(link, message)
             case wire.FeedStatus():
                 self._handle_status(link, message)
             case wire.FeedPush():
@@ -297,11 +273,6 @@
             case _:
                 self.board.count('peer_unknown_messages')
 
-    def _accept(self) -> peer_links.PeerLink:
-        link = peer_links.PeerLink(self.board, self._receive)
-        self._accepted[link] = self.loop.time()
-        return link
-
     def _handle_status(
         self, link: peer_links.PeerLink, message: wire.FeedStatus
     ) -> None:
@@ -370,12 +341,6 @@
                 wire.encode_frame(wire.FeedPull(name, copy.through))
             )
 
-    def _drop_unsubscribed(self, now: float) -> None:
-        for link, accepted_at in list(self._accepted.items()):
-            if now - accepted_at > subscriber_types.SUBSCRIBER_TIMEOUT_S:
-                link.close()
-                del self._accepted[link]
-
 
 def _is_fresh(state: wire.FeedState) -> bool:
     return state.age_s <= provider_types.FRESH_S
--- a/packages/entry/src/dragonflyslip_entry/gateway/subscribers.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/subscribers.py
@@ -75,6 +75,21 @@
             link.send(wire.encode_frame(self._status()))
         return True
 
+    def receive(
+        self, link: peer_links.PeerLink, message: wire.Message
+    ) -> None:
+        """Handle a message of a subscriber."""
+        match message:
+            case wire.FeedSubscribe():
+                self.accept(link, message)
+            case wire.FeedPull():
+                self.send_page(link, message)
+            case wire.FeedPush():
+                # Only a provider is asked for pages.
+                self.board.count('peer_unasked_pages')
+            case _:
+                self.board.count('peer_unknown_messages')
+
     def send_page(
         self, link: peer_links.PeerLink, message: wire.FeedPull
     ) -> None:
--- a/tests/adapter/test_relays.py
+++ b/tests/adapter/test_relays.py
@@ -8,9 +8,10 @@
 from dragonflyslip_emulator import endless
 from dragonflyslip_emulator import store as store_types
 from dragonflyslip_entry.gateway import feeds
+from dragonflyslip_entry.gateway import peer_port
 from dragonflyslip_entry.gateway import relay
-from dragonflyslip_entry.gateway import subscribers
 from dragonflyslip_testing import relay as network
+import dragonflyslip_wire as wire
 
 # A change must be in force at all gateways this long after it was accepted.
 IN_FORCE_S = 2.0
@@ -124,6 +125,23 @@
             lambda: all(item.board.entries == 4 for item in gateways)
         )
 
+    async def test_other_links_are_not_counted_as_gateways(self, platform):
+        # Guards against limits that are divided among too many gateways.
+        first, second = await _start(platform, 2)
+        await platform.until(
+            lambda: (
+                len(first.network.gateways) == 2
+                and first.network.send('gateway-2', wire.NoticeAck(1))
+            )
+        )
+        counters = second.board.counters
+        await platform.until(lambda: counters['peer_messages_received'])
+        await asyncio.sleep(relay.STATUS_PERIOD_S)
+        assert first.board.fleet.entries(0.0) == 2
+        assert second.board.fleet.entries(0.0) == 2
+        assert len(first.feeds.relay.subscribers.links) == 1
+        assert not second.feeds.relay.subscribers.links
+
 
 class TestProviderFaults:
     @pytest.mark.parametrize('lost', [[0], [1], [0, 1], [0, 1, 2]])
@@ -289,7 +307,7 @@
         self, platform, monkeypatch
     ):
         # Guards against links that hold part of a frame for ever.
-        monkeypatch.setattr(subscribers, 'SUBSCRIBER_TIMEOUT_S', 0.3)
+        monkeypatch.setattr(peer_port, 'FIRST_MESSAGE_TIMEOUT_S', 0.3)
         gateways = await _start(platform, 1)
         host, _, port = gateways[0].options.peer_listen.rpartition(':')
         reader, writer = await asyncio.open_connection(host, int(port))
