--- a/packages/entry/src/dragonflyslip_entry/gateway/entry_records.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/entry_records.py
@@ -52,11 +52,8 @@
     @classmethod
     def from_record(cls, record: feeds.FeedRecord) -> typing.Self | None:
         """Return the gateway that a record registers, None if it does not."""
-        if record.value is None:
-            return None
-        try:
-            entry = decode(record.value)
-        except (msgspec.DecodeError, RecursionError):
+        entry = parse(record)
+        if entry is None:
             return None
         host, port = flag_settings.split_endpoint(entry.endpoint)
         entry_id = membership.EntryId(record.key, entry.incarnation)
@@ -75,6 +72,16 @@
         """
 
 
+def parse(record: feeds.FeedRecord) -> EntryRecord | None:
+    """Return the registration that a record holds, None if it holds none."""
+    if record.value is None or not is_gateway(record):
+        return None
+    try:
+        return decode(record.value)
+    except (msgspec.DecodeError, RecursionError):
+        return None
+
+
 def is_gateway(record: feeds.FeedRecord) -> bool:
     """Return whether a record belongs to a gateway, valid or not."""
     return not record.key.startswith(crash_records.KEY_PREFIX)
--- a/packages/entry/src/dragonflyslip_entry/gateway/relay.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/relay.py
@@ -6,13 +6,13 @@
 
 import asyncio
 import collections.abc
-import dataclasses
 
 from dragonflyslip_core import feeds
 from dragonflyslip_core import membership
 from dragonflyslip_core import providers as provider_types
 from dragonflyslip_entry.gateway import board as board_types
 from dragonflyslip_entry.gateway import page_pulls
+from dragonflyslip_entry.gateway import provider_links
 from dragonflyslip_entry.gateway import subscribers as subscriber_types
 from dragonflyslip_entry import logs
 from dragonflyslip_entry import peer_links
@@ -30,43 +30,6 @@
 OnPage = collections.abc.Callable[[str, feeds.FeedPage], None]
 
 
-@dataclasses.dataclass
-class _ProviderLink:
-    """A connection to a provider.
-
-    :param states: states of the feeds in the provider's last status, by name.
-    :param status_received_at: when that status was received.
-    :param confirmed_at: when this gateway's copy was last known to equal the
-        log, by feed.
-    """
-
-    provider: provider_types.Provider
-    link: peer_links.PeerLink
-    opened_at: float
-    subscribed_at: float
-    states: dict[str, wire.FeedState] = dataclasses.field(default_factory=dict)
-    status_received_at: float = float('-inf')
-    confirmed_at: dict[str, float] = dataclasses.field(default_factory=dict)
-
-    def confirm(self, name: str, through: int | None) -> None:
-        """Update ``confirmed_at`` if the copy reaches the provider's.
-
-        :param through: offset after the last record of the feed that this
-            gateway has.
-        """
-        state = self.states.get(name)
-        if state is None or through is None or through < state.through:
-            return
-        known = self.confirmed_at.get(name, float('-inf'))
-        self.confirmed_at[name] = max(
-            known, self.status_received_at - state.age_s
-        )
-
-    def age_s(self, name: str, now: float) -> float:
-        """Return the seconds since the copy was known to equal the log."""
-        return now - self.confirmed_at.get(name, float('-inf'))
-
-
 class FeedRelay:
     """Copies feeds from gateways that registered earlier to later ones.
 
@@ -93,7 +56,7 @@
         self.subscribers = subscriber_types.Subscribers(
             board, own_id, copies, ages
         )
-        self._links: dict[membership.EntryId, _ProviderLink] = {}
+        self._links: dict[membership.EntryId, provider_links.ProviderLink] = {}
         self._connecting: set[asyncio.Task[None]] = set()
         self.pulls = page_pulls.PagePulls(copies)
         # Feeds whose first copy may come from a provider that is not fresh.
@@ -102,9 +65,12 @@
     def follow(self, providers: list[provider_types.Provider]) -> None:
         """Copy from the best of these from the next :meth:`update` on.
 
+        Links to providers that stay among them are kept.
+
         :param providers: the gateways that registered earlier.
         """
-        self.provider_selector = provider_types.ProviderSelector(providers)
+        for provider in self.provider_selector.follow(providers):
+            self._close_link(provider)
 
     def update(self, now: float, starting: bool = False) -> None:
         """Check, close and open links; send the status if it is due.
@@ -134,20 +100,26 @@
             (
                 provider_link.age_s(name, now)
                 for provider_link in self._links.values()
+                if not provider_link.is_of_older_era(
+                    name, self.copies[name].through
+                )
             ),
             default=float('inf'),
         )
 
-    def registration_ended(self, name: str, before: int) -> None:
+    def registration_ended(self, name: str, before: feeds.Position) -> None:
         """Stop copying from a gateway whose registration has ended.
 
-        :param before: offset of the record that ended its registration.
+        :param before: position of the record that ended its registration.
         """
         ended = self.provider_selector.registration_ended(name, before)
         for provider in ended:
-            provider_link = self._links.pop(provider.entry_id, None)
-            if provider_link is not None:
-                provider_link.link.close()
+            self._close_link(provider)
+
+    def _close_link(self, provider: provider_types.Provider) -> None:
+        provider_link = self._links.pop(provider.entry_id, None)
+        if provider_link is not None:
+            provider_link.link.close()
 
     def close(self) -> None:
         """Close all links."""
@@ -172,12 +144,14 @@
         """
         return any(
             provider_link.status_received_at > float('-inf')
-            and all(map(_is_fresh, provider_link.states.values()))
+            and all(
+                map(provider_links.is_fresh, provider_link.states.values())
+            )
             for provider_link in self._links.values()
         )
 
     def _check_provider(
-        self, provider_link: _ProviderLink, now: float
+        self, provider_link: provider_links.ProviderLink, now: float
     ) -> None:
         silent_s = now - max(
             provider_link.status_received_at, provider_link.opened_at
@@ -200,14 +174,17 @@
         if provider_link.states:
             fresh = all(
                 provider_link.age_s(name, now) <= provider_types.FRESH_S
+                and not provider_link.is_of_older_era(name, copy.through)
                 and not self.pulls.is_overdue(name, now)
-                for name in self.copies
+                for name, copy in self.copies.items()
             )
             self.provider_selector.set_fresh(provider_link.provider, fresh)
         if now - provider_link.subscribed_at >= SUBSCRIBE_PERIOD_S:
             self._subscribe(provider_link, now)
 
-    def _drop_provider(self, provider_link: _ProviderLink, now: float) -> None:
+    def _drop_provider(
+        self, provider_link: provider_links.ProviderLink, now: float
+    ) -> None:
         provider_link.link.close()
         del self._links[provider_link.provider.entry_id]
         self.provider_selector.closed(provider_link.provider, now)
@@ -239,17 +216,19 @@
             )
             return
         link.peer = provider.entry_id
-        if provider not in self.provider_selector.order:
+        if not self.provider_selector.contains(provider.entry_id):
             # Its registration ended meanwhile.
             link.close()
             return
         now = self.loop.time()
-        provider_link = _ProviderLink(provider, link, now, now)
+        provider_link = provider_links.ProviderLink(provider, link, now, now)
         self._links[provider.entry_id] = provider_link
         self._subscribe(provider_link, now)
         logs.info('provider connected', provider=str(provider.entry_id))
 
-    def _subscribe(self, provider_link: _ProviderLink, now: float) -> None:
+    def _subscribe(
+        self, provider_link: provider_links.ProviderLink, now: float
+    ) -> None:
         provider_link.subscribed_at = now
         provider_link.link.send(
             wire.encode_frame(
@@ -319,7 +298,9 @@
         link.close()
         logs.info('provider replaced', provider=str(message.sender))
 
-    def _pull_missing(self, provider_link: _ProviderLink, now: float) -> None:
+    def _pull_missing(
+        self, provider_link: provider_links.ProviderLink, now: float
+    ) -> None:
         for name, copy in self.copies.items():
             state = provider_link.states.get(name)
             if state is None or (
@@ -328,7 +309,7 @@
                 continue
             if (
                 copy.through is None
-                and not _is_fresh(state)
+                and not provider_links.is_fresh(state)
                 and name not in self.unreadable
             ):
                 # It may lack the end of a target, a domain or a route that
@@ -340,7 +321,3 @@
             provider_link.link.send(
                 wire.encode_frame(wire.FeedPull(name, copy.through))
             )
-
-
-def _is_fresh(state: wire.FeedState) -> bool:
-    return state.age_s <= provider_types.FRESH_S
--- a/packages/entry/src/dragonflyslip_entry/gateway/subscribers.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/subscribers.py
@@ -45,7 +45,7 @@
         self.loop = asyncio.get_running_loop()
         self.links: dict[peer_links.PeerLink, float] = {}
         self.announced_at = float('-inf')
-        self._page_frames: dict[tuple[str, int | None], bytes] = {}
+        self._page_frames: dict[tuple[str, feeds.Position | None], bytes] = {}
 
     def announce(self) -> None:
         """Send the state of all feeds to the subscribers."""
--- a/packages/wire/src/dragonflyslip_wire/messages.py
+++ b/packages/wire/src/dragonflyslip_wire/messages.py
@@ -174,13 +174,13 @@
 class FeedState:
     """How far one entry has read a feed.
 
-    :param through: offset after the last record that the entry has, one more
-        than ``through`` would be in :class:`ConfigPush`.
+    :param through: position after the last record that the entry has. Its
+        offset is one more than ``through`` would be in :class:`ConfigPush`.
     :param age_s: seconds since ``through`` was the end of the log.
     """
 
     name: str
-    through: int
+    through: feeds.Position
     age_s: float
 
 
@@ -200,11 +200,11 @@
 class FeedPull:
     """Requests the changes of a feed.
 
-    :param start: first offset; None for everything.
+    :param start: first position; None for everything.
     """
 
     name: str
-    start: int | None
+    start: feeds.Position | None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -573,7 +573,8 @@
     items = builder.init('feeds', len(message.feeds))
     for item, state in zip(items, message.feeds, strict=True):
         item.name = fields.check_name(state.name, 'feed')
-        item.through = state.through
+        item.era = state.through.era
+        item.through = state.through.offset
         # Rounded up: if the state looks too old, the recipient asks another
         # entry.
         item.ageMs = fields.to_ms(state.age_s, round_up=True)
@@ -585,7 +586,7 @@
         tuple(
             FeedState(
                 fields.check_name(item.name, 'feed'),
-                item.through,
+                feeds.Position(item.era, item.through),
                 item.ageMs / 1000,
             )
             for item in reader.feeds
@@ -596,20 +597,25 @@
 
 def _write_feed_pull(builder, message: FeedPull) -> None:
     builder.name = fields.check_name(message.name, 'feed')
-    builder.hasStart = message.start is not None
-    builder.start = message.start or 0
+    if message.start is not None:
+        builder.hasStart = True
+        builder.era = message.start.era
+        builder.start = message.start.offset
 
 
 def _read_feed_pull(reader) -> FeedPull:
-    start = reader.start if reader.hasStart else None
+    start = None
+    if reader.hasStart:
+        start = feeds.Position(reader.era, reader.start)
     return FeedPull(fields.check_name(reader.name, 'feed'), start)
 
 
 def _write_feed_push(builder, message: FeedPush) -> None:
     page = message.page
     builder.name = fields.check_name(message.name, 'feed')
-    builder.start = page.start
-    builder.through = page.through
+    builder.era = page.era
+    builder.start = page.start.offset
+    builder.through = page.through.offset
     builder.complete = page.complete
     content = _schema.FeedRecords.new_message(
         num_first_segment_words=_max_feed_words(page.records)
@@ -618,7 +624,7 @@
     for item, record in zip(items, page.records, strict=True):
         item.key = fields.check_text(record.key, 'key')
         item.value = record.value or b''
-        item.offset = record.offset
+        item.offset = record.position.offset
         item.dropped = record.value is None
     data = content.to_bytes_packed()
     if not _has_one_segment(data):
@@ -644,16 +650,20 @@
     content = _schema.FeedRecords.from_bytes_packed(
         data, traversal_limit_in_words=MAX_MESSAGE_WORDS
     )
+    era = reader.era
     records = tuple(
         feeds.FeedRecord(
             fields.check_text(item.key, 'key'),
             None if item.dropped else bytes(item.value),
-            item.offset,
+            feeds.Position(era, item.offset),
         )
         for item in content.records
     )
     page = feeds.FeedPage(
-        records, reader.start, reader.through, reader.complete
+        records,
+        feeds.Position(era, reader.start),
+        feeds.Position(era, reader.through),
+        reader.complete,
     )
     return FeedPush(fields.check_name(reader.name, 'feed'), page)
 
