Decode orders and versions, and encode the status of rollouts

The adapter tells the sink of orders, their deletion and a complete list of the services that have one, so that an order that cannot be read does not count as withdrawn. Targets state their version.

--- a/packages/core/src/dragonflyslip_core/directory.py
+++ b/packages/core/src/dragonflyslip_core/directory.py
@@ -44,6 +44,7 @@
     cold_s: float
     started_at_ms: int
     sequence: int
+    version: str = ''
 
     @property
     def recency_key(self) -> tuple[int, int]:
--- a/packages/entry/src/dragonflyslip_entry/gateway/adapters.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/adapters.py
@@ -13,6 +13,7 @@
 from dragonflyslip_core import feeds
 from dragonflyslip_core import manifest as manifest_types
 from dragonflyslip_core import placement
+from dragonflyslip_core import rollouts
 from dragonflyslip_entry import errors
 
 Headers = multidict.MultiMapping[str]
@@ -131,6 +132,25 @@
     def domain_out_set(self, domain: str, out: bool) -> None:
         """Take a failure domain out of service or put it back."""
 
+    def rollout_ordered(self, order: rollouts.RolloutOrder) -> None:
+        """Apply an operator's order."""
+
+    def rollout_withdrawn(
+        self, service: str, position: rollouts.Position
+    ) -> None:
+        """Apply the deletion of an order."""
+
+    def rollouts_listed(
+        self, services: frozenset[str], through: rollouts.Position
+    ) -> None:
+        """Apply a complete list of the services that have an order.
+
+        :param services: those with a record, readable or not.
+        """
+
+    def rollouts_through(self, through: rollouts.Position) -> None:
+        """Record up to which position the orders have been read."""
+
     def record_skipped(self, key: str, reason: str) -> None:
         """Report a record that cannot be used."""
 
@@ -223,11 +243,18 @@
         and targets.
     :ivar entries_feed: feed in which the gateways register themselves and
         record the requests that were in flight at crashes of targets.
+    :ivar status_feed: feed of the status of rollouts.
     """
 
     dialect: Dialect
     feeds: tuple[str, ...]
     entries_feed: str
+    status_feed: str
+
+    def encode_status(
+        self, status: rollouts.RolloutStatus
+    ) -> tuple[str, bytes]:
+        """Return the key and the value of the record of a status."""
 
     def open_log(self, store_url: str) -> RecordLog:
         """Return the platform's logs without reading anything yet."""
