Add the messages of rollouts to the peer protocol

Gateways report counts of a rollout to its candidates, which respond with advice. A report may come through another candidate, and the advice to a candidate names the processes whose reports it lacks, so no third message is needed for forwarding. Names, cells and missing processes are bounded.

Round trips, damaged frames and values out of bounds are tested as for the other messages; the fuzzer expands the reports that it decodes.

--- a/packages/wire/src/dragonflyslip_wire/__init__.py
+++ b/packages/wire/src/dragonflyslip_wire/__init__.py
@@ -26,3 +26,7 @@
 from dragonflyslip_wire.messages import Notice
 from dragonflyslip_wire.messages import NoticeAck
 from dragonflyslip_wire.messages import PROTOCOL_VERSION
+from dragonflyslip_wire.rollout_messages import MAX_MISSING
+from dragonflyslip_wire.rollout_messages import MissingReports
+from dragonflyslip_wire.rollout_messages import RolloutAdvice
+from dragonflyslip_wire.rollout_messages import RolloutReport
--- a/packages/wire/src/dragonflyslip_wire/messages.py
+++ b/packages/wire/src/dragonflyslip_wire/messages.py
@@ -14,6 +14,7 @@
 from dragonflyslip_core import target_facts
 from dragonflyslip_wire import errors
 from dragonflyslip_wire import fields
+from dragonflyslip_wire import rollout_messages
 
 PROTOCOL_VERSION = 1
 KEY_HASH_BYTES = 16
@@ -228,6 +229,8 @@
     | FeedStatus
     | FeedPull
     | FeedPush
+    | rollout_messages.RolloutReport
+    | rollout_messages.RolloutAdvice
 )
 
 
@@ -695,6 +698,18 @@
     _Codec(FeedStatus, 'feedStatus', _write_feed_status, _read_feed_status),
     _Codec(FeedPull, 'feedPull', _write_feed_pull, _read_feed_pull),
     _Codec(FeedPush, 'feedPush', _write_feed_push, _read_feed_push),
+    _Codec(
+        rollout_messages.RolloutReport,
+        'rolloutReport',
+        rollout_messages.write_report,
+        rollout_messages.read_report,
+    ),
+    _Codec(
+        rollout_messages.RolloutAdvice,
+        'rolloutAdvice',
+        rollout_messages.write_advice,
+        rollout_messages.read_advice,
+    ),
 )
 _CODECS_BY_TYPE = {codec.type: codec for codec in _CODECS}
 _CODECS_BY_MEMBER = {codec.member: codec for codec in _CODECS}
--- a/packages/wire/src/dragonflyslip_wire/peer.capnp
+++ b/packages/wire/src/dragonflyslip_wire/peer.capnp
@@ -19,6 +19,8 @@
     feedStatus @10 :FeedStatus;
     feedPull @11 :FeedPull;
     feedPush @12 :FeedPush;
+    rolloutReport @13 :RolloutReport;
+    rolloutAdvice @14 :RolloutAdvice;
   }
 }
 
@@ -189,3 +191,63 @@
 struct FeedRecords {
   records @0 :List(FeedPush.Record);
 }
+
+# Position of a record in a feed.
+struct Position {
+  # How many times the feed had come back from an older copy of itself.
+  era @0 :UInt32;
+  offset @1 :UInt64;
+}
+
+struct RolloutReport {
+  struct Cell {
+    stage @0 :UInt8;
+    # Index in routes.
+    route @1 :UInt16;
+    # One more than the index in targets, 0 for the control group.
+    target @2 :UInt16;
+    failures @3 :UInt32;
+    # Number of the first bucket of response times in use, and the counts from
+    # it on.
+    firstBucket @4 :UInt8;
+    buckets @5 :List(UInt32);
+  }
+
+  service @0 :Text;
+  # The entry that sends the message; not the reporter if it forwards it.
+  sender @1 :Text;
+  reporter @2 :Text;
+  incarnation @3 :UInt64;
+  # Position of the order.
+  order @4 :Position;
+  sequence @5 :UInt64;
+  # The report has all cells that changed after the one with this sequence.
+  since @6 :UInt64;
+  stage @7 :UInt8;
+  # Requests in flight at targets of the old versions.
+  unfinishedOld @8 :UInt32;
+  # Requests of the service since the order.
+  requests @9 :UInt64;
+  routes @10 :List(Text);
+  targets @11 :List(Text);
+  cells @12 :List(Cell);
+}
+
+struct RolloutAdvice {
+  struct Missing {
+    reporter @0 :Text;
+    # 0 if the sender knows of no process of this name.
+    incarnation @1 :UInt64;
+    acknowledged @2 :UInt64;
+  }
+
+  service @0 :Text;
+  # The entry that sends the message.
+  candidate @1 :Text;
+  order @2 :Position;
+  hold @3 :Bool;
+  # Newest report of the recipient from which no changed cell is missing.
+  acknowledged @4 :UInt64;
+  # Processes whose reports the recipient should forward to the sender.
+  missing @5 :List(Missing);
+}
--- a/packages/wire/tests/test_frames.py
+++ b/packages/wire/tests/test_frames.py
@@ -8,6 +8,7 @@
 
 from dragonflyslip_core import feeds
 from dragonflyslip_core import membership
+from dragonflyslip_core import rollouts
 from dragonflyslip_core import suspects
 from dragonflyslip_core import target_facts
 import dragonflyslip_wire as wire
@@ -47,6 +48,29 @@
 header_text = strategies.binary(max_size=20).map(
     lambda data: data.decode('utf-8', 'surrogateescape')
 )
+positions = strategies.builds(
+    rollouts.Position, strategies.integers(0, 2**32 - 1), uint64
+)
+uint32 = strategies.integers(0, 2**32 - 1)
+uint8 = strategies.integers(0, 2**8 - 1)
+rows = strategies.tuples(
+    strategies.tuples(uint8, uint16, uint16, uint32, uint8),
+    strategies.lists(uint32, max_size=5).map(tuple),
+).map(lambda parts: parts[0] + parts[1])
+compact_reports = strategies.builds(
+    rollouts.CompactReport,
+    names,
+    uint64,
+    positions,
+    uint64,
+    uint64,
+    uint8,
+    uint32,
+    uint64,
+    strategies.lists(names, max_size=3).map(tuple),
+    strategies.lists(names, max_size=3).map(tuple),
+    strategies.lists(rows, max_size=4).map(tuple),
+)
 # Feed messages are left out.
 any_message = strategies.one_of(
     strategies.builds(
@@ -96,6 +120,18 @@
         ).map(tuple),
         strategies.binary(max_size=300),
     ),
+    strategies.builds(wire.RolloutReport, names, names, compact_reports),
+    strategies.builds(
+        wire.RolloutAdvice,
+        names,
+        strategies.builds(
+            rollouts.Advice, names, positions, strategies.booleans(), uint64
+        ),
+        strategies.lists(
+            strategies.builds(wire.MissingReports, names, uint64, uint64),
+            max_size=3,
+        ).map(tuple),
+    ),
 )
 
 # Bytes of the messages of `TestFeedMessages` before they had an era.
@@ -122,6 +158,13 @@
     return sent == received
 
 
+def report(**fields):
+    """Return a message with a report that has these fields."""
+    order = rollouts.Position(0, 1)
+    empty = rollouts.CompactReport('e', 1, order, 1, 0, 0, 0, 0, (), (), ())
+    return wire.RolloutReport('s', 'e', empty._replace(**fields))
+
+
 def decode_error(data):
     decoder = wire.FrameDecoder()
     with pytest.raises(wire.WireError) as caught:
@@ -298,6 +341,11 @@
             wire.Notice(
                 1, (target_facts.TargetFact('t', 'b', True, 2**16, 0),)
             ),
+            report(rows=((1, 0, 0, 0),)),
+            report(rows=((1, 0, 0, 0, 0, *[1] * 65),)),
+            report(rows=((1, 0, 0, -1, 0),)),
+            report(routes=('',)),
+            report(targets=('t',) * 4_097),
             'text',
         ],
     )
--- a/tests/fuzz_parsers.py
+++ b/tests/fuzz_parsers.py
@@ -23,8 +23,10 @@
 from dragonflyslip_adapter import errors as adapter_errors
 from dragonflyslip_adapter import records
 from dragonflyslip_adapter import store_pages
+from dragonflyslip_core import errors as core_errors
 from dragonflyslip_core import feeds as feed_types
 from dragonflyslip_core import membership
+from dragonflyslip_core import rollouts
 from dragonflyslip_entry import errors
 from dragonflyslip_entry.gateway import crash_records
 from dragonflyslip_entry.gateway import entry_records
@@ -135,8 +137,9 @@
 
 
 def _parse_frames(data: bytes) -> None:
-    for _ in wire.FrameDecoder().feed(data):
-        pass
+    for message in wire.FrameDecoder().feed(data):
+        if isinstance(message, wire.RolloutReport):
+            message.report.expand()
 
 
 _MANIFEST = json.dumps(
@@ -192,6 +195,28 @@
                 True,
             ),
         ),
+        wire.RolloutReport(
+            'casebook',
+            'edge-1',
+            rollouts.CompactReport(
+                'edge-1',
+                7,
+                rollouts.Position(1, 4),
+                2,
+                1,
+                1,
+                3,
+                90,
+                ('route-safe',),
+                ('i-1',),
+                ((1, 0, 1, 2, 7, 3, 4), (1, 0, 0, 0, 8, 30)),
+            ),
+        ),
+        wire.RolloutAdvice(
+            'casebook',
+            rollouts.Advice('edge-1', rollouts.Position(1, 4), True, 1),
+            (wire.MissingReports('edge-2'),),
+        ),
     )
 )
 
@@ -219,7 +244,9 @@
     'headers': Parser(
         _parse_headers, (b'id\n500\ni-1\n3,0,8,150\ns\n20\n1.5\n1\n2',)
     ),
-    'frames': Parser(_parse_frames, (_FRAMES,), (wire.WireError,)),
+    'frames': Parser(
+        _parse_frames, (_FRAMES,), (wire.WireError, core_errors.RecordError)
+    ),
     'settings': Parser(
         _parse_settings,
         ('\n'.join(_SETTINGS.values()).encode(),),
