Tell which registered gateways have ended

A gateway that was killed stays registered. Candidates of a rollout must leave it out, while one that is merely silent must stay. An address that refuses connections, or where another process says who it is, shows that the process has ended; the name counts as gone until a link to it opens or another process registers under it.

--- a/packages/entry/src/dragonflyslip_entry/gateway/peer_network.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/peer_network.py
@@ -58,6 +58,8 @@
         self.loop = asyncio.get_running_loop()
         self.handlers: dict[type, Handler] = {}
         self.gateways: dict[str, entry_records.RegisteredGateway] = {}
+        # Processes that are known to have ended, by name.
+        self._ended: dict[str, membership.EntryId] = {}
         self.closed = False
         self._peers: dict[str, network_peers.NetworkPeer] = {}
         self._links: dict[peer_links.PeerLink, network_peers.NetworkLink] = {}
@@ -76,6 +78,10 @@
         its last requests.
         """
         self.gateways = dict(gateways)
+        for name, ended in list(self._ended.items()):
+            gateway = self.gateways.get(name)
+            if gateway is None or gateway.entry_id != ended:
+                del self._ended[name]
         for name, peer in list(self._peers.items()):
             gateway = self.gateways.get(name)
             if gateway is None:
@@ -83,6 +89,14 @@
             elif gateway.entry_id != peer.entry_id:
                 self._drop_peer(peer)
 
+    @property
+    def gone(self) -> collections.abc.Set[str]:
+        """Names of registered gateways whose process has ended.
+
+        Their address refuses connections or belongs to another process.
+        """
+        return self._ended.keys()
+
     def send(self, name: str, message: wire.Message) -> bool:
         """Send a message to a gateway, and open a link if there is none.
 
@@ -249,6 +263,9 @@
             async with asyncio.timeout(HELLO_TIMEOUT_S):
                 await link.closed.wait()
             reason = 'closed by the peer'
+        except ConnectionRefusedError as error:
+            reason = repr(error)
+            self._ended[peer.entry_id.name] = peer.entry_id
         except (OSError, TimeoutError) as error:
             reason = repr(error)
         finally:
@@ -270,6 +287,8 @@
             or message.sender != peer.entry_id
         ):
             self.board.count('peer_links_misdirected')
+            if isinstance(message, wire.Hello):
+                self._ended[peer.entry_id.name] = peer.entry_id
             link.close()
             return
         if peer.opening is None:
@@ -307,6 +326,7 @@
         now = self.loop.time()
         state = network_peers.NetworkLink(link, peer.entry_id, opener, now)
         link.peer = peer.entry_id
+        self._ended.pop(peer.entry_id.name, None)
         self._links[link] = state
         peer.links.append(state)
         self.board.count('peer_links_opened')
