Follow, report and decide rollouts at the gateway

Decisions are appended on condition that the feed ends where this gateway's copy ends. The status is written under the same kind of condition, after a read that finds it missing and while the copy of the decisions is fresh, so a decider that was suspended does not replace a newer one. Outside rollouts no message is sent.

A request draws its group once; the filter of the core is asked again right before the write. Repeats use the targets of assign_repeat, as does a request of the new group that finds no new target. Requests in flight are counted from their write to the end of the response at the standing of the target, so those from before the order count as well.

--- a/packages/core/src/dragonflyslip_core/placement.py
+++ b/packages/core/src/dragonflyslip_core/placement.py
@@ -82,6 +82,8 @@
     :param failure_average: moving average of recent requests that failed,
         0 to 1, as of ``failure_updated_at``.
     :param unseen: own requests that no load reading includes yet.
+    :param unfinished: own requests from their write to the end of their
+        response.
     :param cold_until: when the target will be warm, by its last reading.
     :param skip_until: until when the target is not asked for its load.
     :param paused_until: end of the pause that the target asked for.
@@ -90,6 +92,7 @@
     failure_average: float = 0.0
     failure_updated_at: float = 0.0
     unseen: int = 0
+    unfinished: int = 0
     cold_until: float = float('-inf')
     skip_until: float = float('-inf')
     paused_until: float = float('-inf')
--- a/packages/entry/src/dragonflyslip_entry/gateway/calls.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/calls.py
@@ -10,6 +10,7 @@
 from dragonflyslip_core import manifest as manifest_types
 from dragonflyslip_core import request_crashes
 from dragonflyslip_core import request_identity
+from dragonflyslip_core import rollouts
 from dragonflyslip_entry import errors
 from dragonflyslip_entry import headers
 
@@ -43,6 +44,8 @@
     :param streaming: whether the response is sent while it arrives.
     :param answered: whether a target has responded without a server error.
     :param crash_chain: what was known of its crashes when it was sent.
+    :param assignment: its group in a rollout and the targets that it may use;
+        None before it is drawn.
     :param is_crash_trial: whether it may be sent although it was in flight at
         several crashes.
     """
@@ -67,6 +70,7 @@
     answered: bool = False
     crash_chain: request_crashes.Chain = request_crashes.NO_CHAIN
     is_crash_trial: bool = False
+    assignment: rollouts.Assignment | None = None
 
     @functools.cached_property
     def path_identity(self) -> str:
--- a/packages/entry/src/dragonflyslip_entry/gateway/daemon.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/daemon.py
@@ -22,6 +22,9 @@
 from dragonflyslip_entry.gateway import peer_network
 from dragonflyslip_entry.gateway import peer_port
 from dragonflyslip_entry.gateway import probing
+from dragonflyslip_entry.gateway.rollouts import controller
+from dragonflyslip_entry.gateway.rollouts import metrics as rollout_metrics
+from dragonflyslip_entry.gateway.rollouts import selection
 from dragonflyslip_entry.gateway import sending
 from dragonflyslip_entry.gateway import settings as settings_types
 from dragonflyslip_entry.gateway import target_pools
@@ -68,22 +71,37 @@
         self.dialect = adapter.dialect
         self.pools = target_pools.TargetPools()
         self.metrics = metrics.GatewayMetrics(self.board)
+        self.log = adapter.open_log(options.store_url)
+        own_id = membership.EntryId(options.name, secrets.randbits(64))
+        self.network = peer_network.PeerNetwork(self.board, own_id)
+        versions = selection.VersionSelection(self.board)
+        self.rollouts = controller.RolloutController(
+            self.board,
+            self.log,
+            adapter.entries_feed,
+            self.network,
+            versions,
+            adapter,
+            # Later processes of this name have a higher number.
+            int(time.time() * 1000),
+        )
+        self.metrics.add_collector(
+            rollout_metrics.RolloutCollector(self.rollouts)
+        )
         self.topology = topology.TopologyController(
-            self.board, self.pools, self.loop.time
+            self.board, self.pools, self.loop.time, self.rollouts
         )
-        self.log = adapter.open_log(options.store_url)
         prober = probing.Prober(self.board, self.pools, self.dialect)
         self.crashes = crash_reports.CrashReporter(
             self.board, prober, self.log, adapter.entries_feed, time.time
         )
-        own_id = membership.EntryId(options.name, secrets.randbits(64))
-        self.network = peer_network.PeerNetwork(self.board, own_id)
         self.feeds = feeds.FeedController(
             self.board,
             adapter,
             self.log,
             self.topology,
             self.crashes,
+            self.rollouts,
             self.network,
             own_id,
             options.peer_listen,
@@ -98,7 +116,7 @@
         self.handler = handling.RequestHandler(
             self.board,
             target_selection.TargetSelector(self.board, prober),
-            sending.Sender(self.board, self.dialect, self.crashes),
+            sending.Sender(self.board, self.dialect, self.crashes, versions),
             self.dialect,
             self.metrics,
             self.crashes,
@@ -130,6 +148,7 @@
             *flag_settings.split_endpoint(self.options.peer_listen)
         )
         self._start(self.feeds.run())
+        self._start(self.rollouts.run())
         self._start(self._run_maintenance())
         await self.stopping.wait()
         logs.info('gateway drains', in_flight=self.handler.in_flight)
@@ -167,6 +186,9 @@
         for runner in runners:
             await runner.cleanup()
         self.pools.close()
+        # All requests have ended.
+        self.rollouts.report_last()
+        await self.rollouts.close()
         self.feeds.close()
         self.network.close()
         await self.crashes.close()
--- a/packages/entry/src/dragonflyslip_entry/gateway/entry_records.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/entry_records.py
@@ -10,6 +10,11 @@
 from dragonflyslip_core import membership
 from dragonflyslip_entry import flag_settings
 from dragonflyslip_entry.gateway import crash_records
+from dragonflyslip_entry.gateway.rollouts import decision_records
+
+
+# Begin the keys of other records in the feed.
+_OTHER_PREFIXES = (crash_records.KEY_PREFIX, decision_records.KEY_PREFIX)
 
 
 class EntryRecord(msgspec.Struct, frozen=True):
@@ -84,7 +89,7 @@
 
 def is_gateway(record: feeds.FeedRecord) -> bool:
     """Return whether a record belongs to a gateway, valid or not."""
-    return not record.key.startswith(crash_records.KEY_PREFIX)
+    return not record.key.startswith(_OTHER_PREFIXES)
 
 
 def find(
--- a/packages/entry/src/dragonflyslip_entry/gateway/feeds.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/feeds.py
@@ -22,6 +22,7 @@
 from dragonflyslip_entry.gateway import registry as registry_types
 from dragonflyslip_entry.gateway import relay as relay_types
 from dragonflyslip_entry.gateway import renewals
+from dragonflyslip_entry.gateway.rollouts import controller
 from dragonflyslip_entry import logs
 
 # Long-poll time of a read. The log may fail to wake a waiting read, or its
@@ -51,6 +52,7 @@
     """Keeps copies of all feeds current and passes changes to the decoder.
 
     :param crashes: gets the records of requests that crash targets.
+    :param rollouts: gets the records of decisions.
     :param registrations: gets the registered gateways.
     :param own_id: id of this gateway.
     :param endpoint: IP:PORT at which other gateways reach it.
@@ -63,6 +65,7 @@
         log: adapters.RecordLog,
         sink: adapters.TopologySink,
         crashes: crash_reports.CrashReporter,
+        rollouts: controller.RolloutController,
         registrations: entry_records.RegistrationSink,
         own_id: membership.EntryId,
         endpoint: str,
@@ -72,6 +75,7 @@
         self.sink = sink
         self.decoder = adapter.open_decoder(sink)
         self.crashes = crashes
+        self.rollouts = rollouts
         self.entries_feed = adapter.entries_feed
         self.registrations = registrations
         self.own_id = own_id
@@ -99,7 +103,13 @@
             endpoint,
             registrations,
         )
-        self.renewals = renewals.Renewals(board, (self.registry, crashes))
+        self.renewals = renewals.Renewals(
+            board, (self.registry, crashes, rollouts)
+        )
+        rollouts.feed.follow(
+            self.feeds[self.entries_feed].copy,
+            lambda: self._ages(self.loop.time())[self.entries_feed],
+        )
         self._must_read = asyncio.Event()
 
     async def run(self) -> None:
@@ -393,8 +403,10 @@
             if name == self.entries_feed:
                 self.registry.apply(changes)
                 self.crashes.apply(changes)
+                self.rollouts.apply(changes)
             else:
                 self.decoder.apply(name, changes)
+                self.rollouts.versions.update()
         except Exception as error:
             # Every gateway reads these records. An unexpected one must not
             # end them all, each time they start.
--- a/packages/entry/src/dragonflyslip_entry/gateway/handling.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/handling.py
@@ -12,6 +12,7 @@
 from aiohttp import web
 
 from dragonflyslip_core import admission
+from dragonflyslip_core import rollouts
 from dragonflyslip_entry import errors
 from dragonflyslip_entry.gateway import adapters
 from dragonflyslip_entry.gateway import board as board_types
@@ -56,6 +57,7 @@
         self.crashes = crashes
         self.target_selector = target_selector
         self.sender = sender
+        self.versions = sender.versions
         self.repeater = repeating.Repeater(board, target_selector, sender)
         self.responder = responses.Responder(board, dialect, sender)
         self.matcher = request_matching.RequestMatcher(board, dialect)
@@ -207,9 +209,7 @@
                 return self._final_error(call, refused_s)
             if not call.can_end(self.loop.time()):
                 return self._stopping_error(call)
-            probed = await self.target_selector.choose(
-                call.service, excluded, self._prefers_local(call)
-            )
+            probed = await self._choose(call, excluded)
             if isinstance(probed, target_selection.NoTarget):
                 call.reason = call.reason or probed.reason
                 return self._final_error(call)
@@ -226,7 +226,7 @@
                 if not outcome.complete:
                     checked = self.responder.correct_status(call, outcome)
                     if isinstance(checked, error_responses.ErrorResponse):
-                        self.sender.release(probed, False)
+                        self.sender.discard(probed, outcome)
                         return checked
                     self._start_streaming(call)
                     return await self.responder.stream(
@@ -241,7 +241,7 @@
             call.reason = outcome.reason
             if len(call.sent_to) == sent_before:
                 unwritten += 1
-                if outcome.reason == sending.OUTDATED_REASON:
+                if outcome.reason in sending.BLAMELESS_REASONS:
                     # The target is not at fault and may be probed again.
                     excluded.discard(probed.target.target_id)
                 if unwritten < MAX_UNWRITTEN_SENDS and (
@@ -252,6 +252,26 @@
             if not self.repeater.may_repeat(call, body):
                 return self._final_error(call)
 
+    async def _choose(
+        self, call: calls.Call, excluded: set[str]
+    ) -> probing.ProbedTarget | target_selection.NoTarget:
+        """Return a target of a version that the request may use."""
+        assignment = self.versions.assign(call)
+        probed = await self.target_selector.choose(
+            call.service, excluded, self._prefers_local(call), assignment
+        )
+        if (
+            isinstance(probed, target_selection.NoTarget)
+            and assignment.group is rollouts.Group.NEW
+        ):
+            return await self.target_selector.choose(
+                call.service,
+                excluded,
+                self._prefers_local(call),
+                self.versions.assign_repeat(call),
+            )
+        return probed
+
     def _is_worth_sending(
         self, call: calls.Call, probed: probing.ProbedTarget
     ) -> bool:
@@ -343,11 +363,17 @@
             service=call.service.name,
             manifest=call.version,
             targets=call.sent_to,
+            **self._version_fields(call),
             status=status,
             reason=call.reason,
             ms=round(elapsed_s * 1000, 1),
         )
 
+    def _version_fields(self, call: calls.Call) -> dict[str, list[str]]:
+        """Return the versions of the targets if a service has several."""
+        versions = self.versions.versions_of(call.service.name, call.sent_to)
+        return {} if versions is None else {'versions': versions}
+
 
 def _expects_continue(request: web.BaseRequest) -> bool:
     return request.headers.get('Expect', '').lower() == '100-continue'
--- a/packages/entry/src/dragonflyslip_entry/gateway/metrics.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/metrics.py
@@ -1,5 +1,7 @@
 """Prometheus metrics of one gateway."""
 
+import typing
+
 import prometheus_client
 from prometheus_client import core as metrics_core
 
@@ -33,6 +35,10 @@
             registry=self.registry,
         )
 
+    def add_collector(self, collector: typing.Any) -> None:
+        """Export the metrics that a collector yields."""
+        self.registry.register(collector)
+
     def request_ended(self, service: str, status: int, seconds: float) -> None:
         """Count a request that was answered or whose caller disconnected.
 
--- a/packages/entry/src/dragonflyslip_entry/gateway/probing.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/probing.py
@@ -13,10 +13,13 @@
 from dragonflyslip_core import directory
 from dragonflyslip_core import errors
 from dragonflyslip_core import placement
+from dragonflyslip_core import rollouts
+from dragonflyslip_core.rollouts import versions
 from dragonflyslip_core import target_limits
 from dragonflyslip_entry.gateway import adapters
 from dragonflyslip_entry.gateway import board as board_types
 from dragonflyslip_entry.gateway import clocks
+from dragonflyslip_entry.gateway.rollouts import response_counts
 from dragonflyslip_entry.gateway import target_pools
 from dragonflyslip_entry import http_connection
 from dragonflyslip_entry import logs
@@ -43,6 +46,11 @@
         opened after its answer.
     :param answered_at: when it answered, see
         :func:`.clocks.elapsed_clock_s`.
+    :param assignment: group and targets of the request for which it was
+        chosen.
+    :param in_flight_at: standing of the target while the request that was
+        written on the connection has not ended.
+    :param counted: the attempt, if its response is counted in a rollout.
     """
 
     target: directory.Registration
@@ -50,6 +58,9 @@
     connection: http_connection.HttpConnection
     reading: placement.HealthReading
     answered_at: float
+    assignment: rollouts.Assignment = versions.UNRESTRICTED
+    in_flight_at: placement.TargetStanding | None = None
+    counted: response_counts.CountedAttempt | None = None
 
     def is_outdated(self, now: float) -> bool:
         """Whether the answer is too old to send a request because of it.
--- a/packages/entry/src/dragonflyslip_entry/gateway/repeating.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/repeating.py
@@ -114,7 +114,7 @@
             return
         outcome = task.result()
         if isinstance(outcome, sending.Answered) and not outcome.complete:
-            self.sender.release(probed, False)
+            self.sender.discard(probed, outcome)
 
     async def _hedge(
         self,
@@ -125,7 +125,12 @@
         """Start a second send unless the first one ends before."""
         first = next(iter(sends))
         choice = self.loop.create_task(
-            self.target_selector.choose(call.service, excluded, False)
+            self.target_selector.choose(
+                call.service,
+                excluded,
+                False,
+                self.sender.versions.assign_repeat(call),
+            )
         )
         try:
             await asyncio.wait(
--- a/packages/entry/src/dragonflyslip_entry/gateway/responses.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/responses.py
@@ -102,7 +102,8 @@
             await relayed.write_eof()
             whole = True
         finally:
-            self.sender.stream_ended(call, probed, body, answer, whole)
+            left = request.transport is None
+            self.sender.stream_ended(call, probed, body, answer, whole, left)
             if not whole and request.transport is not None:
                 # The part that the caller has received must not look complete.
                 request.transport.abort()
--- a/packages/entry/src/dragonflyslip_entry/gateway/sending.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/sending.py
@@ -11,6 +11,7 @@
 from dragonflyslip_entry.gateway import clocks
 from dragonflyslip_entry.gateway import crash_reports
 from dragonflyslip_entry.gateway import probing
+from dragonflyslip_entry.gateway.rollouts import selection
 from dragonflyslip_entry import http_connection
 from dragonflyslip_entry import logs
 
@@ -25,6 +26,10 @@
 REFUSAL_BODY_TIMEOUT_S = 0.1
 # Reason of a send that was held up after its target had answered a probe.
 OUTDATED_REASON = 'probe-outdated'
+# Reason of a send whose target's version may not get the request any more.
+VERSION_REASON = 'version-withdrawn'
+# Reasons after which the target may be probed again.
+BLAMELESS_REASONS = (OUTDATED_REASON, VERSION_REASON)
 # Characters of an error in the reason of a failure.
 MAX_ERROR_TEXT_LENGTH = 200
 
@@ -80,10 +85,12 @@
         board: board_types.GatewayBoard,
         dialect: adapters.Dialect,
         crashes: crash_reports.CrashReporter,
+        versions: selection.VersionSelection,
     ):
         self.board = board
         self.dialect = dialect
         self.crashes = crashes
+        self.versions = versions
         self.loop = asyncio.get_running_loop()
 
     async def send(
@@ -117,12 +124,14 @@
             # The caller has left, its time is over, or a hedge was faster.
             if attempt.written and not call.answered:
                 self.crashes.suspect(call, body, probed.target)
+            self._count_cancelled(call, probed)
             raise
         finally:
             standing.unseen -= 1
             if not (isinstance(outcome, Answered) and not outcome.complete):
                 self.release(probed, isinstance(outcome, Answered | NotRun))
         self._record_outcome(call, probed, outcome, attempt)
+        self._count_outcome(probed, outcome)
         if isinstance(outcome, ResponseLost):
             logs.request(
                 'response lost',
@@ -145,19 +154,33 @@
         body: calls.RequestBody | None,
         answer: Answered,
         whole: bool,
+        left: bool,
     ) -> None:
         """Record the end of a response that was sent while it arrived.
 
+        :param left: whether the caller has left before its end.
+
         The connection is given back, or closed unless ``whole``.
         """
+        if probed.counted is not None and (whole or not left):
+            probed.counted.end(answer.failed or not whole, self.loop.time())
         self.release(probed, whole)
         if not whole:
             self.crashes.suspect(call, body, probed.target)
         elif answer.succeeded:
             self.crashes.succeeded(call, body)
 
+    def discard(self, probed: probing.ProbedTarget, answer: Answered) -> None:
+        """Close the connection of a response that is not passed on."""
+        if probed.counted is not None:
+            probed.counted.end(answer.failed, self.loop.time())
+        self.release(probed, False)
+
     def release(self, probed: probing.ProbedTarget, reusable: bool) -> None:
         """Give the connection back, or close it if it is not ``reusable``."""
+        if probed.in_flight_at is not None:
+            probed.in_flight_at.unfinished -= 1
+            probed.in_flight_at = None
         if reusable:
             probed.pool.give_back(probed.connection)
         else:
@@ -183,12 +206,46 @@
                 raise _NotSent('target-paused')
             if not call.can_end(now):
                 raise _NotSent('gateway-stopping')
+            if not self.versions.permits(probed.assignment, probed.target):
+                raise _NotSent(VERSION_REASON)
             if not self.board.target_limits.take(probed.target.target_id, now):
                 raise _NotSent('target-limited')
             call.sent_to.append(probed.target.target_id)
+            standing.unfinished += 1
+            probed.in_flight_at = standing
+            probed.counted = self.versions.begin_attempt(
+                call, probed.assignment, probed.target
+            )
 
         return check
 
+    def _count_outcome(
+        self, probed: probing.ProbedTarget, outcome: SendOutcome
+    ) -> None:
+        """Count the outcome in a rollout, unless its response goes on."""
+        if probed.counted is None:
+            return
+        now = self.loop.time()
+        if isinstance(outcome, NotRun):
+            probed.counted.discard()
+        elif isinstance(outcome, ResponseLost):
+            probed.counted.end(True, now)
+        elif outcome.complete:
+            probed.counted.end(outcome.failed, now)
+
+    def _count_cancelled(
+        self, call: calls.Call, probed: probing.ProbedTarget
+    ) -> None:
+        """Count an attempt that was cancelled, unless its caller left."""
+        if probed.counted is None:
+            return
+        now = self.loop.time()
+        if call.answered:
+            # A hedge was faster.
+            probed.counted.end(False, now)
+        elif now >= call.caller_deadline_at:
+            probed.counted.end(True, now)
+
     async def _exchange(
         self,
         call: calls.Call,
@@ -214,6 +271,7 @@
         )
         # The deadline of the call ends the wait before this timeout does.
         response = await connection.send(request, attempt, left_s + 1.0)
+        answered_at = self.loop.time()
         left_bytes = MAX_FOREIGN_BODY_BYTES
         for _ in range(MAX_FOREIGN_RESPONSES):
             metadata = self.dialect.parse_response(
@@ -221,6 +279,8 @@
             )
             if metadata.request_id == call.request_id:
                 connection.answered_ids.add(call.request_id)
+                if probed.counted is not None:
+                    probed.counted.answered_at = answered_at
                 self._record_statements(probed, metadata)
                 if metadata.not_run:
                     return await self._read_refusal(
@@ -233,6 +293,7 @@
             if not response.has_known_end:
                 break
             response = await connection.read_head(call.method)
+            answered_at = self.loop.time()
         return ResponseLost('response to another request')
 
     def _record_statements(
--- a/packages/entry/src/dragonflyslip_entry/gateway/target_selection.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/target_selection.py
@@ -8,6 +8,8 @@
 from dragonflyslip_core import directory
 from dragonflyslip_core import manifest as manifest_types
 from dragonflyslip_core import placement
+from dragonflyslip_core import rollouts
+from dragonflyslip_core.rollouts import versions
 from dragonflyslip_core import target_limits
 from dragonflyslip_entry.gateway import board as board_types
 from dragonflyslip_entry.gateway import probing
@@ -58,10 +60,12 @@
         rules: manifest_types.ServiceRules,
         excluded: set[str],
         prefer_local: bool,
+        assignment: rollouts.Assignment = versions.UNRESTRICTED,
     ) -> probing.ProbedTarget | NoTarget:
         """Return a target to send to; the caller must release its connection.
 
         :param excluded: ids of targets that are not probed.
+        :param assignment: the targets that the request may use.
         :param prefer_local: whether sending to another failure domain is
             expensive, as for uploads.
         """
@@ -72,8 +76,8 @@
         rounds = 0
         try:
             while batch := (
-                self._sample(rules, tried, prefer_local, chosen)
-                + self._sample_limited(rules, tried, rounds)
+                self._sample(rules, tried, prefer_local, chosen, assignment)
+                + self._sample_limited(rules, tried, rounds, assignment)
             ):
                 tried.update(target.target_id for target in batch)
                 probed += await self.prober.probe_all(batch, rules.health_path)
@@ -84,6 +88,8 @@
                 ):
                     break
             taken = chosen or self._choose_fallback(probed, rules)
+            if taken is not None:
+                taken.assignment = assignment
             return taken or NoTarget(self._reason(rules, probed))
         finally:
             for other in probed:
@@ -119,6 +125,7 @@
         tried: set[str],
         prefer_local: bool,
         chosen: probing.ProbedTarget | None,
+        assignment: rollouts.Assignment,
     ) -> list[directory.RegisteredTarget]:
         """Return targets to probe.
 
@@ -129,7 +136,7 @@
         limits = self.board.target_limits
         candidates = [
             target
-            for target in self.board.directory.usable_targets(rules.name)
+            for target in self._usable_targets(rules, assignment)
             if target.target_id not in tried
             and self._may_probe(target.target_id, now)
             and (not limits.has_any or limits.allows(target.target_id, now))
@@ -159,6 +166,17 @@
             self.board.rng,
         )
 
+    def _usable_targets(
+        self,
+        rules: manifest_types.ServiceRules,
+        assignment: rollouts.Assignment,
+    ) -> list[directory.RegisteredTarget]:
+        """Return the usable targets of a service that a request may use."""
+        usable = self.board.directory.usable_targets(rules.name)
+        if assignment.targets is None:
+            return usable
+        return [t for t in usable if t.target_id in assignment.targets]
+
     def _may_probe(self, target_id: str, now: float) -> bool:
         standing = self.board.standing_of(target_id)
         return max(standing.skip_until, standing.paused_until) <= now
@@ -168,6 +186,7 @@
         rules: manifest_types.ServiceRules,
         tried: set[str],
         rounds: int,
+        assignment: rollouts.Assignment,
     ) -> list[directory.RegisteredTarget]:
         """Return the target whose limit was stated longest ago, if any.
 
@@ -180,7 +199,7 @@
             return []
         limited = [
             target
-            for target in self.board.directory.usable_targets(rules.name)
+            for target in self._usable_targets(rules, assignment)
             if target.target_id not in tried
             and not limits.allows(target.target_id, now)
             and self.board.standing_of(target.target_id).paused_until <= now
--- a/packages/entry/src/dragonflyslip_entry/gateway/topology.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/topology.py
@@ -5,6 +5,7 @@
 from dragonflyslip_core import directory
 from dragonflyslip_core import manifest as manifest_types
 from dragonflyslip_entry.gateway import board as board_types
+from dragonflyslip_entry.gateway.rollouts import controller
 from dragonflyslip_entry.gateway import target_pools
 from dragonflyslip_entry import logs
 
@@ -16,6 +17,7 @@
     """Applies manifests, registrations and domains taken out of service.
 
     :param clock: returns monotonic seconds.
+    :param rollouts: follows the orders.
     """
 
     def __init__(
@@ -23,10 +25,15 @@
         board: board_types.GatewayBoard,
         pools: target_pools.TargetPools,
         clock: collections.abc.Callable[[], float],
+        rollouts: controller.RolloutController,
     ):
         self.board = board
         self.pools = pools
         self.clock = clock
+        self.rollout_ordered = rollouts.rollout_ordered
+        self.rollout_withdrawn = rollouts.rollout_withdrawn
+        self.rollouts_listed = rollouts.rollouts_listed
+        self.rollouts_through = rollouts.rollouts_through
         self.lost_sources: set[str] = set()
 
     def manifest_read(self, manifest: manifest_types.Manifest) -> None:
