--- a/packages/entry/src/dragonflyslip_entry/gateway/rollouts/controller.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/rollouts/controller.py
@@ -6,10 +6,12 @@
 
 import asyncio
 import collections.abc
+import random
 
 import msgspec
 from returns import result
 
+from dragonflyslip_core import errors as core_errors
 from dragonflyslip_core import feeds
 from dragonflyslip_core import rollouts
 from dragonflyslip_entry.gateway import adapters
@@ -243,7 +245,7 @@
         if rank is None:
             return
         self.exchange.probe_silent(running)
-        if running.appending is None:
+        if running.appending is None and now >= running.retry_at:
             self._decide(running, rank, now)
 
     def _decide(
@@ -287,6 +289,11 @@
                     )
                     self._resolve(decision.order.service)
                 case result.Failure(error):
+                    if not isinstance(error, core_errors.LogEndError):
+                        # The store is away, or the copy of another era.
+                        running.retry_at = self.loop.time() + random.uniform(
+                            statuses.RETRY_MIN_S, statuses.RETRY_MAX_S
+                        )
                     self.board.count('rollout_append_failures')
                     logs.info(
                         'rollout decision not appended',
--- a/packages/entry/src/dragonflyslip_entry/gateway/rollouts/running.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/rollouts/running.py
@@ -28,6 +28,7 @@
     :ivar counts: what this gateway counts itself.
     :ivar decider: evidence and decisions as a candidate.
     :ivar appending: the append of a decision, while it runs.
+    :ivar retry_at: when the next append may begin.
     """
 
     def __init__(
@@ -44,6 +45,7 @@
         )
         self.decider = rollouts.Decider(name, rollout.order)
         self.appending: asyncio.Task[None] | None = None
+        self.retry_at = float('-inf')
         self.reported_at = float('-inf')
         # Newest report that each candidate has acknowledged.
         self.acknowledged: dict[str, int] = {}
