--- a/tests/adapter/rollout_parts.py
+++ b/tests/adapter/rollout_parts.py
@@ -115,3 +115,49 @@
     async with asyncio.timeout(timeout_s):
         while not condition():
             await asyncio.sleep(0.005)
+
+
+async def start(platform, gateways: int = 4, zones: str = 'abc', **new):
+    """Start gateways in several domains, four old targets and four new ones.
+
+    :param new: fields of the new targets.
+    :return: the gateways, the old targets and the new ones.
+    """
+    await platform.publish()
+    old = await add_targets(platform, OLD, 4, slots=8)
+    started = [
+        await platform.add_gateway(
+            failure_domain=f'zone-{zones[number % len(zones)]}'
+        )
+        for number in range(gateways)
+    ]
+    return started, old, await add_targets(platform, NEW, 4, slots=8, **new)
+
+
+def runs(targets) -> list:
+    """Return the requests that targets ran."""
+    return [run for target in targets for run in target.runs]
+
+
+def ranked(gateways) -> list:
+    """Return the gateways that are candidates, the decider first."""
+    by_name = {gateway.board.name: gateway for gateway in gateways}
+    names = gateways[0].rollouts.exchange.candidates(SERVICE)
+    return [by_name[name] for name in names]
+
+
+async def kill(platform, gateway) -> None:
+    """End a gateway as SIGKILL does: its links close, nothing is written."""
+    tasks = [
+        platform.tasks[gateway],
+        *gateway._tasks,
+        *gateway.rollouts.publisher._tasks.values(),
+    ]
+    for task in tasks:
+        task.cancel()
+    gateway.peer_port.close()
+    gateway.network.close()
+    gateway.feeds.close()
+    await gateway.log.close()
+    await asyncio.gather(*tasks, return_exceptions=True)
+    platform.tasks[gateway] = asyncio.create_task(asyncio.sleep(0))
--- a/tests/adapter/test_rollouts.py
+++ b/tests/adapter/test_rollouts.py
@@ -4,33 +4,16 @@
 
 from tests.adapter import rollout_parts as parts
 
-GATEWAYS = 4
 # Bound of the platform for a bad version.
 EXPOSURE_SHARE = 0.1
 EXPOSURE_SLACK = 50
 
 
-async def _start(platform, gateways=GATEWAYS, **new):
-    await platform.publish()
-    old = await parts.add_targets(platform, parts.OLD, 4, slots=8)
-    await platform.start()
-    started = [platform.gateway]
-    for number in range(1, gateways):
-        zone = f'zone-{"abc"[number % 3]}'
-        started.append(await platform.add_gateway(failure_domain=zone))
-    new = await parts.add_targets(platform, parts.NEW, 4, slots=8, **new)
-    return started, old, new
-
-
-def _runs(targets):
-    return [run for target in targets for run in target.runs]
-
-
 class TestRollout:
     async def test_good_version_succeeds(self, platform):
         # Guards against a success while a gateway still has requests at the
         # old targets, which the platform stops at once.
-        gateways, old, new = await _start(platform)
+        gateways, old, new = await parts.start(platform)
         async with parts.callers(platform, gateways) as replies:
             await asyncio.sleep(0.5)
             await parts.order(platform)
@@ -39,24 +22,24 @@
             for target in old:
                 target.crash()
             await asyncio.sleep(0.5)
-        late = [run for run in _runs(old) if run.ended_at > ended]
+        late = [run for run in parts.runs(old) if run.ended_at > ended]
         assert late == []
         assert parts.status(platform)['target_version'] == parts.NEW
-        assert _runs(new)
+        assert parts.runs(new)
         assert [reply.status for reply in replies if reply.status != 200] == []
         numbers = [item['number'] for item in parts.decisions(platform)]
         assert numbers == list(range(1, len(numbers) + 1))
 
     async def test_bad_version_is_rolled_back(self, platform):
         # Guards against more requests to a bad version than operators accept.
-        gateways, old, new = await _start(platform, fails_every=3)
+        gateways, old, new = await parts.start(platform, fails_every=3)
         async with parts.callers(platform, gateways) as replies:
             await parts.order(platform)
             before = len(replies)
             await parts.until(lambda: parts.state(platform) == 'rolled_back')
             await asyncio.sleep(1.0)
-            reached = len(_runs(new))
+            reached = len(parts.runs(new))
             await asyncio.sleep(0.5)
-            assert len(_runs(new)) == reached
+            assert len(parts.runs(new)) == reached
             requests = len(replies) - before
         assert reached <= EXPOSURE_SHARE * requests + EXPOSURE_SLACK
