Add the evidence of rollouts and its judge

Counts are cumulative for each incarnation of an entry, so reports may be lost, repeated, overtaken or forwarded.

The judge compares bad responses of the version with those of control requests of the same stage and route by a likelihood ratio, which may be looked at as often as wanted. It leaves out the worst quarter of the targets a second time, so that one bad machine does not condemn a version. The last stage has no control; there, a burst must not look like a fault.

--- a/packages/core/src/dragonflyslip_core/rollouts/__init__.py
+++ b/packages/core/src/dragonflyslip_core/rollouts/__init__.py
@@ -17,6 +17,7 @@
 # Public names by module. As in the package above, a module is imported when
 # one of its names is first used: most entries never judge a version.
 _NAMES_BY_MODULE = {
+    'cells': ('CellKey', 'Counts', 'Group'),
     'decisions': (
         'Decision',
         'DecisionTable',
@@ -26,7 +27,15 @@
         'RolloutState',
         'RolloutStatus',
     ),
+    'evidence': ('EvidenceTable',),
+    'judging': ('judge', 'Verdict'),
     'orders': ('KnownOrder', 'OrderTable', 'Position', 'RolloutOrder'),
+    'reports': (
+        'CompactReport',
+        'Report',
+        'REPORT_INTERVAL_S',
+        'ReportCounter',
+    ),
     'rollout': ('resolve', 'Rollout'),
     'stages': ('Stage',),
 }
