Add candidates, advice and the version filter of rollouts

The filter chooses the targets of each request by the stage, the advice of the candidates, and the first appearance of a version. Requests of a small share go to as many new targets as carry it at the usual load, so faults under load show up. A service without a rollout costs one look-up.

--- a/packages/core/src/dragonflyslip_core/rollouts/__init__.py
+++ b/packages/core/src/dragonflyslip_core/rollouts/__init__.py
@@ -17,6 +17,8 @@
 # Public names by module. As in the package above, a module is imported when
 # one of its names is first used: most entries never judge a version.
 _NAMES_BY_MODULE = {
+    'advice': ('Advice', 'AdvisedShare'),
+    'candidates': ('candidates_of', 'rank_of', 'takeover_delay_s'),
     'cells': ('CellKey', 'Counts', 'Group'),
     'decisions': (
         'Decision',
@@ -28,6 +30,7 @@
         'RolloutStatus',
     ),
     'evidence': ('EvidenceTable',),
+    'fleet': ('FleetState', 'VersionedTarget'),
     'judging': ('judge', 'Verdict'),
     'orders': ('KnownOrder', 'OrderTable', 'Position', 'RolloutOrder'),
     'reports': (
@@ -38,6 +41,7 @@
     ),
     'rollout': ('resolve', 'Rollout'),
     'stages': ('Stage',),
+    'versions': ('Assignment', 'UNRESTRICTED', 'VersionFilter'),
 }
 _MODULE_BY_NAME = {
     name: module
