--- a/packages/core/src/dragonflyslip_core/rollouts/__init__.py
+++ b/packages/core/src/dragonflyslip_core/rollouts/__init__.py
@@ -20,6 +20,7 @@
     'advice': ('Advice', 'AdvisedShare'),
     'candidates': ('candidates_of', 'rank_of', 'takeover_delay_s'),
     'cells': ('CellKey', 'Counts', 'Group'),
+    'decider': ('Decider',),
     'decisions': (
         'Decision',
         'DecisionTable',
--- a/packages/core/tests/test_exports.py
+++ b/packages/core/tests/test_exports.py
@@ -3,7 +3,10 @@
 import ast
 import pathlib
 
+import pytest
+
 import dragonflyslip_core
+from dragonflyslip_core import rollouts
 
 _FORBIDDEN = {'aiohttp', 'asyncio', 'socket', 'time', 'uvloop', 'datetime'}
 
@@ -13,9 +16,17 @@
         package = pathlib.Path(dragonflyslip_core.__file__).parent
         imported = {
             alias.name.split('.')[0]
-            for path in package.glob('*.py')
+            for path in package.rglob('*.py')
             for node in ast.walk(ast.parse(path.read_text()))
             if isinstance(node, ast.Import)
             for alias in node.names
         }
         assert not imported & _FORBIDDEN
+
+
+class TestPublicNames:
+    @pytest.mark.parametrize('package', [dragonflyslip_core, rollouts])
+    def test_each_public_name_exists(self, package):
+        # Guards against names that fail only when they are first used.
+        for name in package.__all__:
+            assert getattr(package, name) is not None
