--- a/packages/entry/src/dragonflyslip_entry/gateway/feeds.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/feeds.py
@@ -6,7 +6,6 @@
 
 import asyncio
 import random
-import secrets
 
 from returns import result
 
@@ -15,7 +14,6 @@
 from dragonflyslip_core import membership
 from dragonflyslip_core import providers as provider_types
 from dragonflyslip_core import waiting_reads
-from dragonflyslip_entry import flag_settings
 from dragonflyslip_entry.gateway import adapters
 from dragonflyslip_entry.gateway import board as board_types
 from dragonflyslip_entry.gateway import crash_reports
@@ -24,6 +22,7 @@
 from dragonflyslip_entry.gateway import registry as registry_types
 from dragonflyslip_entry.gateway import relay as relay_types
 from dragonflyslip_entry.gateway import renewals
+from dragonflyslip_entry.gateway.rollouts import controller
 from dragonflyslip_entry import logs
 
 # Long-poll time of a read. The log may fail to wake a waiting read, or its
@@ -53,7 +52,9 @@
     """Keeps copies of all feeds current and passes changes to the decoder.
 
     :param crashes: gets the records of requests that crash targets.
-    :param name: name of this gateway.
+    :param rollouts: gets the records of decisions.
+    :param registrations: gets the registered gateways.
+    :param own_id: id of this gateway.
     :param endpoint: IP:PORT at which other gateways reach it.
     """
 
@@ -64,7 +65,9 @@
         log: adapters.RecordLog,
         sink: adapters.TopologySink,
         crashes: crash_reports.CrashReporter,
-        name: str,
+        rollouts: controller.RolloutController,
+        registrations: entry_records.RegistrationSink,
+        own_id: membership.EntryId,
         endpoint: str,
     ):
         self.board = board
@@ -72,8 +75,10 @@
         self.sink = sink
         self.decoder = adapter.open_decoder(sink)
         self.crashes = crashes
+        self.rollouts = rollouts
         self.entries_feed = adapter.entries_feed
-        self.own_id = membership.EntryId(name, secrets.randbits(64))
+        self.registrations = registrations
+        self.own_id = own_id
         self.endpoint = endpoint
         self.loop = asyncio.get_running_loop()
         self.read_decision = provider_types.ReadDecision()
@@ -96,14 +101,23 @@
             self.entries_feed,
             self.feeds[self.entries_feed].copy,
             endpoint,
+            registrations,
+        )
+        self.renewals = renewals.Renewals(
+            board, (self.registry, crashes, rollouts)
+        )
+        rollouts.feed.follow(
+            self.feeds[self.entries_feed].copy,
+            lambda: self._ages(self.loop.time())[self.entries_feed],
         )
-        self.renewals = renewals.Renewals(board, (self.registry, crashes))
         self._must_read = asyncio.Event()
 
     async def run(self) -> None:
-        """Register this gateway and update the copies until cancelled."""
-        host, port = flag_settings.split_endpoint(self.endpoint)
-        await self.relay.listen(host, port)
+        """Register this gateway and update the copies until cancelled.
+
+        The port for other gateways must be open: they connect to it as soon
+        as this gateway is registered.
+        """
         async with asyncio.TaskGroup() as group:
             group.create_task(self._register())
             group.create_task(self._run_updates())
@@ -116,7 +130,7 @@
 
         This gateway goes on following the feeds.
         """
-        self.relay.stop_serving()
+        self.relay.subscribers.close()
         await self.registry.leave()
 
     def close(self) -> None:
@@ -389,8 +403,10 @@
             if name == self.entries_feed:
                 self.registry.apply(changes)
                 self.crashes.apply(changes)
+                self.rollouts.apply(changes)
             else:
                 self.decoder.apply(name, changes)
+                self.rollouts.versions.update()
         except Exception as error:
             # Every gateway reads these records. An unexpected one must not
             # end them all, each time they start.
--- a/packages/entry/src/dragonflyslip_entry/gateway/registry.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/registry.py
@@ -33,6 +33,7 @@
     :param feed: name of the feed in which the gateways register.
     :param copy: this gateway's copy of it.
     :param endpoint: IP:PORT at which other gateways reach this one.
+    :param registrations: gets the registered gateways.
     :ivar registered: whether the first registration has been written.
     """
 
@@ -45,6 +46,7 @@
         feed: str,
         copy: feeds.FeedCopy,
         endpoint: str,
+        registrations: entry_records.RegistrationSink,
     ):
         self.board = board
         self.log = log
@@ -52,6 +54,7 @@
         self.relay = relay
         self.feed = feed
         self.copy = copy
+        self.registrations = registrations
         self.own_id = relay.own_id
         # It holds the incarnation, so it differs from that of a process that
         # had or takes over the name.
@@ -69,6 +72,7 @@
         # Position of this process's registration when it was last read.
         self._own_at = feeds.START
         self._names: set[str] = set()
+        self._gateways: dict[str, entry_records.RegisteredGateway] = {}
         self._lost_names = era_holds.EraHolds[str](NAME_HOLD_S)
 
     async def register(self) -> feeds.ReadPage:
@@ -185,7 +189,7 @@
         :param is_listed: whether it is from a complete page.
         :return: whether this gateway's place in the order may have changed.
         """
-        self._set_name(record.key, entry_records.parse(record) is not None)
+        self._set_gateway(record)
         if record.value == self.value:
             self._own_at = record.position
             self._is_replaced = False
@@ -206,7 +210,7 @@
         :return: whether a provider has registered again.
         """
         entry = self._decode(record)
-        self._set_name(record.key, entry is not None)
+        self._set_gateway(record)
         if entry is not None and self.relay.provider_selector.contains(
             membership.EntryId(record.key, entry.incarnation)
         ):
@@ -225,15 +229,21 @@
             self.sink.record_skipped(record.key, str(error))
             return None
 
-    def _set_name(self, name: str, registered: bool) -> None:
-        self._lost_names.release(name)
-        if registered:
-            self._names.add(name)
+    def _set_gateway(self, record: feeds.FeedRecord) -> None:
+        """Apply what a record says of the gateway of its name."""
+        self._lost_names.release(record.key)
+        gateway = entry_records.RegisteredGateway.from_record(record)
+        if gateway is not None:
+            self._names.add(record.key)
+            self._gateways[record.key] = gateway
         else:
-            self._names.discard(name)
+            self._names.discard(record.key)
 
     def _publish_names(self) -> None:
         self.board.set_registered_entries(frozenset(self._names))
+        for name in self._gateways.keys() - self._names:
+            del self._gateways[name]
+        self.registrations.set_gateways(self._gateways)
 
     def _own_record(self) -> feeds.FeedRecord | None:
         """Return the record of this process in the copy."""
--- a/packages/entry/src/dragonflyslip_entry/gateway/relay.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/relay.py
@@ -12,8 +12,8 @@
 from dragonflyslip_core import providers as provider_types
 from dragonflyslip_entry.gateway import board as board_types
 from dragonflyslip_entry.gateway import page_pulls
-from dragonflyslip_entry.gateway import page_pushes
 from dragonflyslip_entry.gateway import provider_links
+from dragonflyslip_entry.gateway import subscribers as subscriber_types
 from dragonflyslip_entry import logs
 from dragonflyslip_entry import peer_links
 import dragonflyslip_wire as wire
@@ -26,11 +26,8 @@
 # Subscribers renew their subscription, so that providers can drop those that
 # have ended.
 SUBSCRIBE_PERIOD_S = 3.0
-SUBSCRIBER_TIMEOUT_S = 10.0
 
-Copies = collections.abc.Mapping[str, feeds.FeedCopy]
 OnPage = collections.abc.Callable[[str, feeds.FeedPage], None]
-Ages = collections.abc.Callable[[float], dict[str, float]]
 
 
 class FeedRelay:
@@ -46,34 +43,24 @@
         self,
         board: board_types.GatewayBoard,
         own_id: membership.EntryId,
-        copies: Copies,
+        copies: subscriber_types.Copies,
         on_page: OnPage,
-        ages: Ages,
+        ages: subscriber_types.Ages,
     ):
         self.board = board
         self.own_id = own_id
         self.copies = copies
         self.on_page = on_page
-        self.ages = ages
         self.loop = asyncio.get_running_loop()
         self.provider_selector = provider_types.ProviderSelector(())
-        self.subscribers: dict[peer_links.PeerLink, float] = {}
-        # Links that have not subscribed yet, and when they were opened.
-        self._accepted: dict[peer_links.PeerLink, float] = {}
+        self.subscribers = subscriber_types.Subscribers(
+            board, own_id, copies, ages
+        )
         self._links: dict[membership.EntryId, provider_links.ProviderLink] = {}
         self._connecting: set[asyncio.Task[None]] = set()
         self.pulls = page_pulls.PagePulls(copies)
         # Feeds whose first copy may come from a provider that is not fresh.
         self.unreadable: set[str] = set()
-        self.pushes = page_pushes.PagePushes(board, copies, self.subscribers)
-        self._status_at = float('-inf')
-        self._server: asyncio.Server | None = None
-
-    async def listen(self, host: str, port: int) -> None:
-        """Listen for subscribers."""
-        self._server = await self.loop.create_server(
-            self._accept, host, port, reuse_address=True
-        )
 
     def follow(self, providers: list[provider_types.Provider]) -> None:
         """Copy from the best of these from the next :meth:`update` on.
@@ -99,19 +86,13 @@
             now, starting
         ):
             self._open_link(provider)
-        self._drop_stale_subscribers(now)
-        if now - self._status_at >= STATUS_PERIOD_S:
+        self.subscribers.drop_stale(now)
+        if now - self.subscribers.announced_at >= STATUS_PERIOD_S:
             self.announce()
 
     def announce(self) -> None:
         """Send the state of all feeds to the subscribers."""
-        self.pushes.forget()
-        self._status_at = self.loop.time()
-        if not self.subscribers:
-            return
-        frame = wire.encode_frame(self._status())
-        for link in self.subscribers:
-            link.send(frame)
+        self.subscribers.announce()
 
     def age_s(self, name: str, now: float) -> float:
         """Return the seconds since a provider confirmed a copy as current."""
@@ -140,20 +121,9 @@
         if provider_link is not None:
             provider_link.link.close()
 
-    def stop_serving(self) -> None:
-        """Stop listening and close the links to subscribers.
-
-        They subscribe to other gateways instead.
-        """
-        if self._server is not None:
-            self._server.close()
-        for link in self.subscribers:
-            link.close()
-        self.subscribers.clear()
-
     def close(self) -> None:
         """Close all links."""
-        self.stop_serving()
+        self.subscribers.close()
         for task in self._connecting:
             task.cancel()
         for provider_link in self._links.values():
@@ -180,16 +150,6 @@
             for provider_link in self._links.values()
         )
 
-    def _status(self) -> wire.FeedStatus:
-        ages = self.ages(self.loop.time())
-        states = tuple(
-            wire.FeedState(name, copy.through, ages[name])
-            for name, copy in self.copies.items()
-            if copy.through is not None
-        )
-        # Of the live gateways, only this one and its subscribers are counted.
-        return wire.FeedStatus(states, 1 + len(self.subscribers))
-
     def _check_provider(
         self, provider_link: provider_links.ProviderLink, now: float
     ) -> None:
@@ -282,10 +242,6 @@
         self, link: peer_links.PeerLink, message: wire.Message
     ) -> None:
         match message:
-            case wire.FeedSubscribe():
-                self._accept_subscriber(link, message)
-            case wire.FeedPull():
-                self.pushes.send(link, message)
             case wire.FeedStatus():
                 self._handle_status(link, message)
             case wire.FeedPush():
@@ -296,25 +252,6 @@
             case _:
                 self.board.count('peer_unknown_messages')
 
-    def _accept(self) -> peer_links.PeerLink:
-        link = peer_links.PeerLink(self.board, self._receive)
-        self._accepted[link] = self.loop.time()
-        return link
-
-    def _accept_subscriber(
-        self, link: peer_links.PeerLink, message: wire.FeedSubscribe
-    ) -> None:
-        if message.provider != self.own_id:
-            # The process to which the sender wants to subscribe has ended.
-            link.send(wire.encode_frame(wire.Hello(self.own_id)))
-            return
-        known = link in self.subscribers
-        self._accepted.pop(link, None)
-        link.peer = message.sender
-        self.subscribers[link] = self.loop.time()
-        if not known:
-            link.send(wire.encode_frame(self._status()))
-
     def _handle_status(
         self, link: peer_links.PeerLink, message: wire.FeedStatus
     ) -> None:
@@ -384,14 +321,3 @@
             provider_link.link.send(
                 wire.encode_frame(wire.FeedPull(name, copy.through))
             )
-
-    def _drop_stale_subscribers(self, now: float) -> None:
-        for link, subscribed_at in list(self.subscribers.items()):
-            if not link.open or now - subscribed_at > SUBSCRIBER_TIMEOUT_S:
-                link.close()
-                del self.subscribers[link]
-        for link, accepted_at in list(self._accepted.items()):
-            if now - accepted_at > SUBSCRIBER_TIMEOUT_S:
-                link.close()
-                del self._accepted[link]
-        self.board.fleet.record_count(1 + len(self.subscribers), now)
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -1058,10 +1058,31 @@
     ),
     Mutation(
         'gateway-replaced-provider',
-        f'{_GATEWAY}/relay.py',
+        f'{_GATEWAY}/subscribers.py',
         'if message.provider != self.own_id:',
         'if False:',
-        _RELAY_TESTS,
+        f'{_ENTRY_TESTS}/test_peer_network.py::TestPeerPort',
+    ),
+    Mutation(
+        'network-process-at-the-address',
+        f'{_GATEWAY}/peer_network.py',
+        'or message.sender != peer.entry_id',
+        'or False',
+        f'{_ENTRY_TESTS}/test_peer_network.py::TestIdentity',
+    ),
+    Mutation(
+        'network-replaced-process',
+        f'{_GATEWAY}/peer_network.py',
+        'if self._is_replaced(sender) or self._is_full:',
+        'if self._is_full:',
+        f'{_ENTRY_TESTS}/test_peer_network.py::TestIdentity',
+    ),
+    Mutation(
+        'network-silent-peer',
+        f'{_GATEWAY}/network_peers.py',
+        'if self._is_silent(self.probed_at, ANSWER_TIMEOUT_S, now):',
+        'if False:',
+        f'{_ENTRY_TESTS}/test_peer_network.py::TestUnreachable',
     ),
     Mutation(
         'gateway-registration-stays',
