Keep the version that a target states in its registration

Rollouts choose targets by the version of the service that they run. A target that changes its version counts as changed, and the line "target registered" states it. Directory.usable_by_version lists the usable targets of a service by version; its index is built for a service when it is first asked for, so deployments without rollouts do not pay for it.

--- a/packages/core/src/dragonflyslip_core/directory.py
+++ b/packages/core/src/dragonflyslip_core/directory.py
@@ -26,6 +26,8 @@
     :param started_at_ms: start time of the process, Unix ms; it is later
         after a restart under the same id.
     :param sequence: number of the report, counted from the process start.
+    :param version: version of the service that the target runs; empty if it
+        states none.
     """
 
     target_id: str
@@ -38,6 +40,7 @@
     cold_s: float
     started_at_ms: int
     sequence: int
+    version: str = ''
 
     @property
     def recency_key(self) -> tuple[int, int]:
@@ -86,6 +89,8 @@
         self._leaving: dict[str, int] = {}
         self._grace_until = float('-inf')
         self._by_service: dict[str, list[RegisteredTarget]] = {}
+        # Filled for a service when it is first asked for.
+        self._by_version: dict[str, dict[str, list[RegisteredTarget]]] = {}
         self._indexed_generation = -1
 
     def registry_recovered(self, now: float) -> None:
@@ -203,6 +208,22 @@
             self._rebuild_index()
         return self._by_service.get(service, [])
 
+    def usable_by_version(
+        self, service: str
+    ) -> collections.abc.Mapping[str, list[RegisteredTarget]]:
+        """Return the usable targets of a service by their version.
+
+        A version without usable targets is not included.
+        """
+        targets = self.usable_targets(service)
+        index = self._by_version.get(service)
+        if index is None:
+            index = self._by_version[service] = {}
+            for target in targets:
+                version = target.registration.version
+                index.setdefault(version, []).append(target)
+        return index
+
     def is_usable(self, target_id: str, service: str) -> bool:
         """Return whether a target may receive new work of ``service``."""
         target = self.targets.get(target_id)
@@ -223,6 +244,7 @@
             if self.is_usable(target.target_id, service):
                 index[service].append(target)
         self._by_service = dict(index)
+        self._by_version.clear()
         self._indexed_generation = self.generation
 
 
--- a/packages/core/tests/test_directory.py
+++ b/packages/core/tests/test_directory.py
@@ -59,6 +59,11 @@
         assert known.register(BASE, 0.0)
         assert not known.register(_registered(sequence=11), 1.0)
 
+    def test_other_version_is_a_change(self):
+        known = directory.Directory()
+        known.register(BASE, 0.0)
+        assert known.register(_registered(sequence=11, version='v2'), 1.0)
+
 
 class TestRestart:
     def test_newer_process_under_the_id_ends_the_known_one(self):
@@ -119,6 +124,32 @@
         known.set_domain_out('a', False)
         assert known.usable_targets('casebook')
 
+    def test_targets_are_listed_by_version(self):
+        """Guards against an index that keeps targets no longer usable."""
+        known = directory.Directory()
+        known.register(BASE, 0.0)
+        for number, version in enumerate(('v1', 'v2', 'v2')):
+            other = _registered(target_id=f'v{number}', version=version)
+            known.register(other, 0.0)
+        other = _registered(target_id='x', version='v1', service='grantdesk')
+        known.register(other, 0.0)
+
+        def listed() -> dict[str, list[str]]:
+            index = known.usable_by_version('casebook')
+            return {
+                version: [target.target_id for target in targets]
+                for version, targets in index.items()
+            }
+
+        assert listed() == {'': ['t1'], 'v1': ['v0'], 'v2': ['v1', 'v2']}
+        # A target restarts with another version, and one leaves.
+        known.register(
+            _registered(target_id='v1', version='v3', started_at_ms=2_000), 1.0
+        )
+        known.set_leaving('v0')
+        assert listed() == {'': ['t1'], 'v3': ['v1'], 'v2': ['v2']}
+        assert known.usable_by_version('nowhere') == {}
+
     def test_target_belongs_to_its_service_only(self):
         known = directory.Directory()
         known.register(BASE, 0.0)
--- a/packages/entry/src/dragonflyslip_entry/gateway/topology.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/topology.py
@@ -76,6 +76,7 @@
                 'target registered',
                 target=registration.target_id,
                 service=registration.service,
+                version=registration.version,
                 draining=registration.draining,
                 cold_s=registration.cold_s,
                 sequence=registration.sequence,
--- a/tests/adapter/test_records.py
+++ b/tests/adapter/test_records.py
@@ -117,6 +117,15 @@
         assert (found.host, found.port) == ('10.0.0.1', 80)
         assert found.cold_s == 1.5
 
+    @pytest.mark.parametrize(
+        ('version', 'decoded'),
+        [({'version': 'v2'}, 'v2'), ({}, ''), ({'version': None}, '')],
+    )
+    def test_version_is_optional(self, version, decoded):
+        info = {**_REGISTRATION['info'], **version}
+        found = records.decode_registration('i-1', _registration(info=info))
+        assert found.unwrap().version == decoded
+
     def test_unknown_fields_are_ignored(self):
         found = records.decode_registration(
             'i-1', _registration(new={'a': [1]})
@@ -140,6 +149,7 @@
             _registration(born='1'),
             _registration(info={**_REGISTRATION['info'], 'slots': 0}),
             _registration(info={**_REGISTRATION['info'], 'service': ''}),
+            _registration(info={**_REGISTRATION['info'], 'version': 2}),
             _registration(status={**_REGISTRATION['status'], 'state': 'gone'}),
             _registration(
                 status={**_REGISTRATION['status'], 'cold_remaining': 3}
@@ -151,7 +161,7 @@
                 status={**_REGISTRATION['status'], 'sequence': True}
             ),
         ],
-        ids=range(18),
+        ids=range(19),
     )
     def test_malformed_record_is_a_failure_with_a_reason(self, value):
         """Guards against a malformed record that raises or is accepted."""
