Decode orders of rollouts and encode their status

Operators order rollouts in the feed that also holds the manifest. The decoder reports each order, its offset and its withdrawal to the sink; the gateway keeps the orders in effect on its board. A complete page without the record of a known order withdraws it, at the offset before the page's end, since the next order may have that of the end itself. The adapter encodes a typed status as a record to be written. The types are in dragonflyslip_core.rollouts.orders.

--- a/packages/core/src/dragonflyslip_core/__init__.py
+++ b/packages/core/src/dragonflyslip_core/__init__.py
@@ -202,6 +202,12 @@
         'RetryBudget',
         'RetryPolicy',
     ),
+    'rollouts.orders': (
+        'PlacedOrder',
+        'RolloutOrder',
+        'RolloutState',
+        'RolloutStatus',
+    ),
     'routing': (
         'LeastInFlight',
         'PeakEwma',
--- a/packages/entry/src/dragonflyslip_entry/gateway/adapters.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/adapters.py
@@ -13,6 +13,7 @@
 from dragonflyslip_core import feeds
 from dragonflyslip_core import manifest as manifest_types
 from dragonflyslip_core import placement
+from dragonflyslip_core.rollouts import orders
 from dragonflyslip_entry import errors
 
 Headers = multidict.MultiMapping[str]
@@ -59,6 +60,15 @@
     pause_s: float | None = None
 
 
+@dataclasses.dataclass(frozen=True)
+class FeedValue:
+    """A record to be written to a feed."""
+
+    feed: str
+    key: str
+    value: bytes
+
+
 class Dialect(typing.Protocol):
     """Headers and statuses that callers and targets of a platform use.
 
@@ -122,6 +132,20 @@
     def domains_out_listed(self, domains: frozenset[str]) -> None:
         """Apply the list of failure domains taken out of service."""
 
+    def rollout_ordered(
+        self,
+        service: str,
+        order: orders.RolloutOrder | None,
+        position: int,
+    ) -> None:
+        """Apply the newest order of a rollout of a service.
+
+        :param order: None if the last one was withdrawn.
+        :param position: offset of the record of the order or its withdrawal.
+            If the latter is known only from a complete page, that of the last
+            record that the page covers.
+        """
+
     def record_skipped(self, key: str, reason: str) -> None:
         """Report a record that cannot be used."""
 
@@ -211,6 +235,9 @@
     def open_decoder(self, sink: TopologySink) -> FeedDecoder:
         """Return a decoder that reports to ``sink``."""
 
+    def encode_rollout_status(self, status: orders.RolloutStatus) -> FeedValue:
+        """Return the record that reports the status of a rollout."""
+
 
 def load_adapter(name: str) -> Adapter:
     """Return the adapter that the module ``name`` provides.
--- a/packages/entry/src/dragonflyslip_entry/gateway/board.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/board.py
@@ -11,6 +11,7 @@
 from dragonflyslip_core import placement
 from dragonflyslip_core import providers
 from dragonflyslip_core import request_crashes
+from dragonflyslip_core.rollouts import orders
 from dragonflyslip_core import target_limits
 from dragonflyslip_entry import logs
 
@@ -35,6 +36,7 @@
         this gateway, by target id.
     :param route_loads: statistics of service times and callers' timeouts, by
         service and kind of route.
+    :param rollout_orders: the order of a rollout in effect, by service.
     :param draining: whether the process is about to stop.
     :param counters: counts by metric name without the common prefix.
     """
@@ -61,6 +63,9 @@
     route_loads: dict[
         tuple[str, manifest_types.RouteKind], admission.RouteLoad
     ] = dataclasses.field(default_factory=dict)
+    rollout_orders: dict[str, orders.PlacedOrder] = dataclasses.field(
+        default_factory=dict
+    )
     counters: collections.Counter[str] = dataclasses.field(
         default_factory=collections.Counter
     )
--- a/packages/entry/src/dragonflyslip_entry/gateway/topology.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/topology.py
@@ -1,9 +1,10 @@
-"""Applies manifests and registrations to the gateway's shared state."""
+"""Applies the platform's records to the gateway's shared state."""
 
 import collections.abc
 
 from dragonflyslip_core import directory
 from dragonflyslip_core import manifest as manifest_types
+from dragonflyslip_core.rollouts import orders
 from dragonflyslip_entry.gateway import board as board_types
 from dragonflyslip_entry.gateway import target_pools
 from dragonflyslip_entry import logs
@@ -13,7 +14,7 @@
 
 
 class TopologyController:
-    """Applies manifests, registrations and domains taken out of service.
+    """Applies manifests, registrations, domains taken out and rollout orders.
 
     :param clock: returns monotonic seconds.
     """
@@ -95,6 +96,32 @@
             if self.board.directory.set_domain_out(domain, out):
                 logs.info('failure domain', domain=domain, out=out)
 
+    def rollout_ordered(
+        self,
+        service: str,
+        order: orders.RolloutOrder | None,
+        position: int,
+    ) -> None:
+        """Apply the newest order of a rollout of a service."""
+        known = self.board.rollout_orders.get(service)
+        if order is None:
+            if self.board.rollout_orders.pop(service, None) is not None:
+                logs.info(
+                    'rollout withdrawn', service=service, position=position
+                )
+            return
+        placed = orders.PlacedOrder(order, position)
+        if placed == known:
+            return
+        self.board.rollout_orders[service] = placed
+        logs.info(
+            'rollout ordered',
+            service=service,
+            version=order.target_version,
+            duration_s=order.duration_s,
+            position=position,
+        )
+
     def record_skipped(self, key: str, reason: str) -> None:
         """Count and log a record that cannot be used."""
         self.board.count('skipped_records')
--- a/tests/fuzz_parsers.py
+++ b/tests/fuzz_parsers.py
@@ -191,6 +191,10 @@
         lambda data: records.decode_registration('i-1', data),
         (_REGISTRATION,),
     ),
+    'rollout': Parser(
+        lambda data: records.decode_rollout_order('casebook', data),
+        (b'{"service":"casebook","target_version":"v2","duration":"12s"}',),
+    ),
     'gateway': Parser(
         entry_records.decode,
         (b'{"incarnation":1,"failure_domain":"z","endpoint":"127.0.0.1:9"}',),
--- a/tests/test_boundaries.py
+++ b/tests/test_boundaries.py
@@ -9,7 +9,9 @@
 PLATFORM_TERMS = re.compile(
     r'X-(?:Request-Id|Deadline-Ms|Server-Stamp|Expect-Instance|Instance-Id'
     r'|Server-Load|Not-Executed|Cold-Ms)|log-(?:read|newest|append|join)'
-    r'|path_prefix|traffic_split|cold_per_s|keyed\.(?:op|servers)|/v1/'
+    r'|path_prefix|traffic_split|cold_per_s|keyed\.(?:op|servers|status)'
+    r"|'rolled_back'"
+    r'|/v1/'
 )
 # Versioned paths of the project's own protocols would be allowed, but the
 # packages contain none at present.
