Add the settings of rollouts, quotas, keys and process limits

The bounds that the platform sets for rollouts, quotas and removed keys, and the limits of the machine, become settings of the gateway. The platform fills an empty text for a field that an installation lacks, so a variable that is set to the empty text now counts as not set, for all settings of both daemons; the operators' command does so already. An empty flag stays a fault. A switch is written as true or false.

--- a/packages/entry/src/dragonflyslip_entry/flag_settings.py
+++ b/packages/entry/src/dragonflyslip_entry/flag_settings.py
@@ -85,7 +85,8 @@
     """Settings that are each a flag and an environment variable.
 
     The flag of ``listen`` is ``--listen``, its variable
-    ``DRAGONFLYSLIP_LISTEN``; a flag takes precedence.
+    ``DRAGONFLYSLIP_LISTEN``; a flag takes precedence. A variable that is set
+    to the empty text counts as not set.
     """
 
     @classmethod
@@ -104,7 +105,9 @@
         for setting in cls.settings():
             text = flags.get(setting.field)
             if text is None:
-                text = environment.get(variable_name(setting.field))
+                # A platform sets the variable to the empty text if it lacks
+                # the value with which it would fill it.
+                text = environment.get(variable_name(setting.field)) or None
             if text is None:
                 if setting.required:
                     faults.append(
@@ -140,7 +143,9 @@
         """Add a flag for each setting to ``parser``."""
         for setting in cls.settings():
             default = (
-                '' if setting.required else f' (default {setting.default})'
+                ''
+                if setting.required
+                else f' (default {setting.default_text})'
             )
             variable = variable_name(setting.field)
             parser.add_argument(
@@ -174,12 +179,20 @@
 
     @property
     def choices(self) -> str:
-        """The values of a literal type, as a message; otherwise empty."""
+        """The values of a literal or a bool, as a message; else empty."""
         base = self.type.__origin__
+        if base is bool:
+            return 'expected true or false'
         if typing.get_origin(base) is not typing.Literal:
             return ''
         return f'expected one of {", ".join(typing.get_args(base))}'
 
+    @property
+    def default_text(self) -> str:
+        """The default as it is written in a flag."""
+        is_bool = isinstance(self.default, bool)
+        return str(self.default).lower() if is_bool else str(self.default)
+
     @property
     def label(self) -> str:
         """The flag and the environment variable, for messages."""
--- a/packages/entry/src/dragonflyslip_entry/gateway/settings.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/settings.py
@@ -126,6 +126,96 @@
             ),
         ),
     ] = 20
+    exposure_share: typing.Annotated[
+        float,
+        msgspec.Meta(
+            ge=0.0,
+            le=1.0,
+            description=(
+                'share of the requests of a service that a bad version '
+                'may get during a rollout, all gateways together'
+            ),
+        ),
+    ] = 0.1
+    exposure_slack: typing.Annotated[
+        float,
+        msgspec.Meta(
+            ge=0.0,
+            description=(
+                'requests that a bad version may get in addition, all '
+                'gateways together'
+            ),
+        ),
+    ] = 50.0
+    rollback_timeout: typing.Annotated[
+        Duration,
+        msgspec.Meta(
+            description=(
+                'time from the 50th bad response of a version until it '
+                'gets no more requests'
+            ),
+        ),
+    ] = 5.0
+    quota_overage: typing.Annotated[
+        float,
+        msgspec.Meta(
+            ge=0.0,
+            description=(
+                'share by which the requests of a client account may '
+                'exceed its quota in any window'
+            ),
+        ),
+    ] = 0.1
+    quota_slack: typing.Annotated[
+        float,
+        msgspec.Meta(
+            ge=0.0,
+            description=(
+                'requests of a client account that may run in addition '
+                'in any window, all gateways together'
+            ),
+        ),
+    ] = 20.0
+    quota_window: typing.Annotated[
+        Duration,
+        msgspec.Meta(
+            description='length of the windows in which quotas are counted',
+        ),
+    ] = 5.0
+    revoke_timeout: typing.Annotated[
+        Duration,
+        msgspec.Meta(
+            description='time until requests with a removed key are refused',
+        ),
+    ] = 5.0
+    strict_revoke: typing.Annotated[
+        bool,
+        msgspec.Meta(
+            description=(
+                'whether a gateway that cannot confirm a key refuses it'
+            ),
+        ),
+    ] = False
+    memory_mb: typing.Annotated[
+        float,
+        msgspec.Meta(
+            ge=0.0,
+            description=(
+                'memory that the process may use, in MB; 0 if this '
+                'setting does not limit it'
+            ),
+        ),
+    ] = 0.0
+    max_descriptors: typing.Annotated[
+        int,
+        msgspec.Meta(
+            ge=0,
+            description=(
+                'descriptors that the process may open; 0 if this '
+                'setting does not limit them'
+            ),
+        ),
+    ] = 0
     log_level: typing.Annotated[
         typing.Literal['debug', 'info', 'warning', 'error'],
         msgspec.Meta(description='lowest level logged'),
--- a/packages/entry/tests/test_settings.py
+++ b/packages/entry/tests/test_settings.py
@@ -1,6 +1,7 @@
 """Settings: all faults are reported at once, before a socket opens."""
 
 import pathlib
+import tomllib
 
 import pytest
 
@@ -26,6 +27,7 @@
 GATEWAY_PAGE = (
     pathlib.Path(__file__).parents[3] / 'docs' / 'operators' / 'gateway.md'
 )
+DEPLOY_FILE = pathlib.Path(__file__).parents[3] / 'deploy' / 'system.toml'
 ENTRY_PAGE_TEXT = (
     pathlib.Path(__file__).parents[3] / 'docs' / 'operators' / 'entry.md'
 ).read_text()
@@ -78,7 +80,7 @@
 
 
 def _row(setting: flag_settings.Setting) -> str:
-    default = 'none' if setting.required else setting.default
+    default = 'none' if setting.required else setting.default_text
     return (
         f'| `{flag_settings.flag_name(setting.field)}` '
         f'| `{flag_settings.variable_name(setting.field)}` '
@@ -127,6 +129,12 @@
             ('ask_rate', 'fast', 'float'),
             ('planned_entries', '0', '>= 1'),
             ('planned_entries', '2.5', 'int'),
+            ('exposure_share', '1.5', '<= 1'),
+            ('quota_overage', '-0.1', '>= 0'),
+            ('rollback_timeout', '0s', 'more than 0s'),
+            ('strict_revoke', 'maybe', 'true or false'),
+            ('memory_mb', '-1', '>= 0'),
+            ('max_descriptors', '-1', '>= 0'),
             ('repeat_ratio', '2', '<= 1'),
             ('name', 'edge-1\n', 'a-z0-9'),
             ('failure_domain', 'Zone', 'a-z0-9'),
@@ -146,6 +154,16 @@
         assert repr(text) in message
         assert allowed in message
 
+    @pytest.mark.parametrize(
+        ('text', 'strict'), [('true', True), ('False', False), ('', False)]
+    )
+    def test_switch_is_parsed(self, text, strict):
+        variable = flag_settings.variable_name('strict_revoke')
+        options = gateway_settings.GatewaySettings.from_sources(
+            GATEWAY, {variable: text}
+        )
+        assert options.strict_revoke is strict
+
     def test_unknown_adapter_is_a_fault(self):
         with pytest.raises(errors.SettingsError) as caught:
             adapters.load_adapter('no_such_module')
@@ -159,3 +177,28 @@
         assert cli.main(['gateway', '--check-settings', *argv]) == 0
         assert cli.main(['gateway', '--check-settings']) == 2
         assert '--store-url' in capsys.readouterr().err
+
+
+class TestDeployFile:
+    """Guards against an installation on which no gateway starts."""
+
+    def test_empty_variables_stand_for_the_defaults(self):
+        role = tomllib.loads(DEPLOY_FILE.read_text())['roles']['gateway']
+        known = {
+            flag_settings.variable_name(setting.field)
+            for setting in gateway_settings.GatewaySettings.settings()
+        }
+        assert role['env'] and set(role['env']) <= known
+        flags = {**GATEWAY, 'stop_timeout': '1s'}
+        options = gateway_settings.GatewaySettings.from_sources(
+            flags, dict.fromkeys(known, '')
+        )
+        plain = gateway_settings.GatewaySettings.from_sources(flags, {})
+        assert options == plain
+
+    def test_empty_variable_is_no_value_of_a_required_setting(self):
+        with pytest.raises(errors.SettingsError) as caught:
+            gateway_settings.GatewaySettings.from_sources(
+                {**GATEWAY, 'name': None}, {'DRAGONFLYSLIP_NAME': ''}
+            )
+        assert 'is required' in caught.value.format_message()
