Log a gateway as unreachable only while it has no other link

Of two links between the same gateways one may fail while the other one works; the line "gateway unreachable" was then wrong, and the failures were forgotten only by a link that this gateway opened itself.

--- a/packages/entry/src/dragonflyslip_entry/gateway/peer_network.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/peer_network.py
@@ -89,7 +89,7 @@
         :return: False if it was not accepted: the name is unknown, the
             gateway could not be reached a moment ago, too many links or bytes
             are in use, or it is longer than ``MAX_LINK_UNSENT_BYTES``. True
-            does not mean that it arrives.
+            does not mean that it arrives; until the link is open, it waits.
         :raises WireError: if the message cannot be encoded.
         """
         now = self.loop.time()
@@ -277,9 +277,6 @@
             return
         peer.opening.cancel()
         peer.opening = None
-        if peer.failures:
-            logs.info('gateway reached again', gateway=str(peer.entry_id))
-        peer.failures = 0
         link.on_message = self.receive
         self._add_link(peer, link, opener=self.own_id)
 
@@ -304,6 +301,9 @@
             if known.opener == opener:
                 # The peer opened a new one, so it has lost the known one.
                 self._remove_link(known)
+        if peer.failures:
+            logs.info('gateway reached again', gateway=str(peer.entry_id))
+            peer.failures = 0
         now = self.loop.time()
         state = network_peers.NetworkLink(link, peer.entry_id, opener, now)
         link.peer = peer.entry_id
@@ -339,7 +339,7 @@
     def _fail(self, peer: network_peers.NetworkPeer, reason: str) -> None:
         """Record that a peer could not be reached or does not answer."""
         peer.waiting.clear()
-        if not peer.failures:
+        if not peer.failures and peer.best_link is None:
             logs.info(
                 'gateway unreachable',
                 gateway=str(peer.entry_id),
