--- a/packages/core/src/dragonflyslip_core/rollouts/__init__.py
+++ b/packages/core/src/dragonflyslip_core/rollouts/__init__.py
@@ -33,7 +33,7 @@
     'evidence': ('EvidenceTable',),
     'fleet': ('FleetState', 'VersionedTarget'),
     'judging': ('judge', 'Verdict'),
-    'orders': ('KnownOrder', 'OrderTable', 'Position', 'RolloutOrder'),
+    'orders': ('KnownOrder', 'OrderTable', 'RolloutOrder'),
     'reports': (
         'CompactReport',
         'Report',
--- a/packages/core/src/dragonflyslip_core/rollouts/advice.py
+++ b/packages/core/src/dragonflyslip_core/rollouts/advice.py
@@ -8,7 +8,7 @@
 
 import dataclasses
 
-from dragonflyslip_core.rollouts import orders
+from dragonflyslip_core import feeds
 from dragonflyslip_core.rollouts import rollout as rollout_types
 from dragonflyslip_core.rollouts import stages
 
@@ -31,7 +31,7 @@
     """
 
     candidate: str
-    order: orders.Position
+    order: feeds.Position
     hold: bool
     acknowledged: int
 
@@ -44,7 +44,7 @@
     :param order: position of the order; other advice is ignored.
     """
 
-    def __init__(self, order: orders.Position):
+    def __init__(self, order: feeds.Position):
         self.order = order
         self._advised_at = float('-inf')
         self._holds: dict[str, float] = {}
--- a/packages/core/src/dragonflyslip_core/rollouts/decisions.py
+++ b/packages/core/src/dragonflyslip_core/rollouts/decisions.py
@@ -10,6 +10,7 @@
 import dataclasses
 import enum
 
+from dragonflyslip_core import feeds
 from dragonflyslip_core.rollouts import orders
 from dragonflyslip_core.rollouts import stages
 
@@ -37,7 +38,7 @@
 
     RUNNING = 'running'
     SUCCEEDED = 'succeeded'
-    ROLLED_BACK = 'rolled_back'
+    ROLLED_BACK = 'rolled-back'
 
 
 @dataclasses.dataclass(frozen=True)
@@ -90,7 +91,7 @@
     figures: Figures
     decider: str
     since_order_s: float
-    replaced: orders.Position | None = None
+    replaced: feeds.Position | None = None
 
     @property
     def share(self) -> float:
@@ -165,7 +166,7 @@
     """
 
     decision: Decision
-    position: orders.Position
+    position: feeds.Position
     seen_at: float
     ordered_at: float
 
@@ -176,14 +177,14 @@
     def __init__(self):
         self._held: dict[str, HeldDecision] = {}
         # The newest record of each key, which is all that a new entry reads.
-        self._logged: dict[str, tuple[orders.Position, Decision]] = {}
+        self._logged: dict[str, tuple[feeds.Position, Decision]] = {}
 
     def of(self, service: str) -> HeldDecision | None:
         """Return the decision in force for a service, None without any."""
         return self._held.get(service)
 
     def merge(
-        self, decision: Decision, position: orders.Position, now: float
+        self, decision: Decision, position: feeds.Position, now: float
     ) -> bool:
         """Apply a record of the log; return whether it is now in force.
 
@@ -207,7 +208,7 @@
 
     def replace(
         self,
-        records: collections.abc.Iterable[tuple[Decision, orders.Position]],
+        records: collections.abc.Iterable[tuple[Decision, feeds.Position]],
         now: float,
     ) -> list[str]:
         """Apply a complete list of the records.
@@ -249,7 +250,7 @@
 
 
 def _takes_precedence(
-    decision: Decision, position: orders.Position, held: HeldDecision
+    decision: Decision, position: feeds.Position, held: HeldDecision
 ) -> bool:
     if decision.is_equal_to(held.decision):
         return position < held.position
--- a/packages/core/src/dragonflyslip_core/rollouts/evidence.py
+++ b/packages/core/src/dragonflyslip_core/rollouts/evidence.py
@@ -8,8 +8,8 @@
 import collections.abc
 import dataclasses
 
+from dragonflyslip_core import feeds
 from dragonflyslip_core.rollouts import cells as cell_types
-from dragonflyslip_core.rollouts import orders
 from dragonflyslip_core.rollouts import reports
 from dragonflyslip_core.rollouts import stages
 
@@ -45,7 +45,7 @@
     :ivar totals: counts of all entries by cell.
     """
 
-    def __init__(self, order: orders.Position):
+    def __init__(self, order: feeds.Position):
         self.order = order
         self.totals: dict[cell_types.CellKey, cell_types.Counts] = {}
         self._reporters: dict[ReporterKey, _Reporter] = {}
--- a/packages/core/src/dragonflyslip_core/rollouts/orders.py
+++ b/packages/core/src/dragonflyslip_core/rollouts/orders.py
@@ -3,23 +3,13 @@
 import collections.abc
 import dataclasses
 
+from dragonflyslip_core import feeds
+
 # An order that a store of a newer era lacks is kept for this time: operators
 # write their records again after the store has come back from an older copy.
 MISSING_GRACE_S = 30.0
 
 
-@dataclasses.dataclass(frozen=True, order=True)
-class Position:
-    """Position of a record in a log whose store may come back older.
-
-    :param era: number of the store's era, 0 if it states none.
-    :param offset: offset of the record within the era.
-    """
-
-    era: int
-    offset: int
-
-
 @dataclasses.dataclass(frozen=True)
 class RolloutOrder:
     """An operator's order to move a service to targets of one version.
@@ -31,7 +21,7 @@
     service: str
     version: str
     duration_s: float
-    position: Position
+    position: feeds.Position
 
     def has_same_content(self, other: 'RolloutOrder') -> bool:
         """Return whether both ask for the same version and duration."""
@@ -72,7 +62,7 @@
     """
 
     order: RolloutOrder
-    newest: Position
+    newest: feeds.Position
     seen_at: float
     first_in_era: bool
     withdrawn: bool = False
@@ -88,7 +78,7 @@
     """
 
     def __init__(self):
-        self.through: Position | None = None
+        self.through: feeds.Position | None = None
         self._era_seen_at = float('-inf')
         self._known: dict[str, KnownOrder] = {}
 
@@ -124,7 +114,9 @@
         )
         return True
 
-    def delete(self, service: str, position: Position, now: float) -> bool:
+    def delete(
+        self, service: str, position: feeds.Position, now: float
+    ) -> bool:
         """Apply the deletion of a record; return whether it withdraws one."""
         self.advance(position, now)
         known = self._known.get(service)
@@ -136,7 +128,7 @@
     def replace(
         self,
         orders: collections.abc.Iterable[RolloutOrder],
-        through: Position,
+        through: feeds.Position,
         now: float,
     ) -> list[str]:
         """Apply a complete list of the orders.
@@ -161,7 +153,7 @@
                 )
         return changed
 
-    def advance(self, through: Position, now: float) -> None:
+    def advance(self, through: feeds.Position, now: float) -> None:
         """Record up to which position the orders were read."""
         if self.through is None or through.era > self.through.era:
             self._era_seen_at = now
@@ -198,7 +190,7 @@
             or now - self._era_seen_at >= MISSING_GRACE_S
         )
 
-    def _withdraw(self, service: str, position: Position) -> None:
+    def _withdraw(self, service: str, position: feeds.Position) -> None:
         self._known[service] = dataclasses.replace(
             self._known[service],
             newest=position,
--- a/packages/core/src/dragonflyslip_core/rollouts/reports.py
+++ b/packages/core/src/dragonflyslip_core/rollouts/reports.py
@@ -9,8 +9,8 @@
 import typing
 
 from dragonflyslip_core import errors
+from dragonflyslip_core import feeds
 from dragonflyslip_core.rollouts import cells as cell_types
-from dragonflyslip_core.rollouts import orders
 from dragonflyslip_core.rollouts import stages
 
 # Time between two reports of an entry, which it also sends without changes.
@@ -37,7 +37,7 @@
 
     reporter: str
     incarnation: int
-    order: orders.Position
+    order: feeds.Position
     sequence: int
     since: int
     stage: stages.Stage
@@ -82,7 +82,7 @@
 
     reporter: str
     incarnation: int
-    order: orders.Position
+    order: feeds.Position
     sequence: int
     since: int
     stage: int
@@ -144,9 +144,7 @@
     :param order: position of the order.
     """
 
-    def __init__(
-        self, reporter: str, incarnation: int, order: orders.Position
-    ):
+    def __init__(self, reporter: str, incarnation: int, order: feeds.Position):
         self.reporter = reporter
         self.incarnation = incarnation
         self.order = order
--- a/packages/core/tests/test_rollout_decider.py
+++ b/packages/core/tests/test_rollout_decider.py
@@ -4,10 +4,11 @@
 
 import pytest
 
+from dragonflyslip_core import feeds
 from dragonflyslip_core import rollouts
 
 DURATION_S = 12.0
-ORDER = rollouts.RolloutOrder('s', 'v2', DURATION_S, rollouts.Position(0, 7))
+ORDER = rollouts.RolloutOrder('s', 'v2', DURATION_S, feeds.Position(0, 7))
 ENTRIES = frozenset(f'g{n}' for n in range(4))
 FLEET = rollouts.FleetState(8, 8, 32, 32, ('v1',), ENTRIES, frozenset(), 2.0)
 Reason, Stage = rollouts.Reason, rollouts.Stage
--- a/packages/core/tests/test_rollout_decisions.py
+++ b/packages/core/tests/test_rollout_decisions.py
@@ -7,13 +7,14 @@
 from hypothesis import strategies
 import pytest
 
+from dragonflyslip_core import feeds
 from dragonflyslip_core import rollouts
 
 ENTRIES = 4
 
 
 def _order(era=0, offset=1, version='v2', duration_s=12.0):
-    position = rollouts.Position(era, offset)
+    position = feeds.Position(era, offset)
     return rollouts.RolloutOrder('s', version, duration_s, position)
 
 
@@ -53,13 +54,13 @@
         table = rollouts.OrderTable()
         for record in records:
             table.put(record, 0.0)
-        assert table.of('s').order.position == rollouts.Position(*position)
+        assert table.of('s').order.position == feeds.Position(*position)
 
     def test_store_that_lost_the_order_does_not_withdraw_it(self):
         # Guards against a rollback because an older copy lacks the record.
         table = rollouts.OrderTable()
         table.put(_order(0, 5), 0.0)
-        assert table.replace([], rollouts.Position(1, 3), 10.0) == []
+        assert table.replace([], feeds.Position(1, 3), 10.0) == []
         assert table.expire(39.0) == []
         assert table.expire(40.0) == ['s']
         assert table.of('s').withdrawn
@@ -67,10 +68,10 @@
     def test_deletion_withdraws_the_order(self):
         table = rollouts.OrderTable()
         table.put(_order(0, 5), 0.0)
-        assert not table.delete('s', rollouts.Position(0, 4), 1.0)
-        assert table.delete('s', rollouts.Position(0, 6), 1.0)
+        assert not table.delete('s', feeds.Position(0, 4), 1.0)
+        assert table.delete('s', feeds.Position(0, 6), 1.0)
         table.put(_order(0, 7), 2.0)
-        assert table.replace([], rollouts.Position(0, 9), 3.0) == ['s']
+        assert table.replace([], feeds.Position(0, 9), 3.0) == ['s']
 
     @pytest.mark.parametrize(
         ('through', 'now', 'withdrawn'),
@@ -86,11 +87,9 @@
         # Guards against an entry that rolls back because it reads the orders
         # later than the decisions, or goes on after a withdrawal.
         table = rollouts.OrderTable()
-        table.advance(rollouts.Position(*through), 0.0)
+        table.advance(feeds.Position(*through), 0.0)
         decisions = rollouts.DecisionTable()
-        decisions.merge(
-            _decision(_order(0, 5), 1), rollouts.Position(0, 1), now
-        )
+        decisions.merge(_decision(_order(0, 5), 1), feeds.Position(0, 1), now)
         rollout = rollouts.resolve('s', table, decisions, now)
         assert rollout.withdrawn is withdrawn
 
@@ -102,7 +101,7 @@
         decisions, table = rollouts.DecisionTable(), rollouts.OrderTable()
         decisions.merge(
             _decision(_order(), 3, superseded=('v0', 'v3')),
-            rollouts.Position(0, 9),
+            feeds.Position(0, 9),
             5.0,
         )
         table.put(_order(0, 8, 'v3'), 6.0)
@@ -117,7 +116,7 @@
         table.put(_order(), 100.0)
         decisions.merge(
             _decision(_order(), 2, since_order_s=7.0),
-            rollouts.Position(0, 9),
+            feeds.Position(0, 9),
             100.0,
         )
         rollout = rollouts.resolve('s', table, decisions, 101.0)
@@ -129,11 +128,11 @@
         decisions, table = rollouts.DecisionTable(), rollouts.OrderTable()
         old, new = _order(0, 1), _order(1, 7)
         final = _decision(old, 4, rollouts.Stage.ROLLED_BACK)
-        decisions.merge(final, rollouts.Position(0, 9), 0.0)
+        decisions.merge(final, feeds.Position(0, 9), 0.0)
         unaware = _decision(new, 1)
-        assert not decisions.merge(unaware, rollouts.Position(1, 1), 0.0)
+        assert not decisions.merge(unaware, feeds.Position(1, 1), 0.0)
         aware = dataclasses.replace(unaware, replaced=old.position)
-        assert decisions.merge(aware, rollouts.Position(1, 2), 0.0)
+        assert decisions.merge(aware, feeds.Position(1, 2), 0.0)
         table.put(new, 0.0)
         rollout = rollouts.resolve('s', table, decisions, 1.0)
         assert rollout.decision == aware
@@ -164,8 +163,8 @@
         records = [
             (_decision(_order(), number, rollouts.Stage[stage]), position)
             for (number, stage), position in (
-                (first, rollouts.Position(0, 9)),
-                (second, rollouts.Position(1, 9)),
+                (first, feeds.Position(0, 9)),
+                (second, feeds.Position(1, 9)),
             )
         ]
         table = rollouts.DecisionTable()
@@ -179,9 +178,9 @@
         # Guards against a resumed decider whose append came through.
         table = rollouts.DecisionTable()
         newer = _decision(_order(0, 5, 'v3'), 1)
-        table.merge(newer, rollouts.Position(0, 7), 0.0)
+        table.merge(newer, feeds.Position(0, 7), 0.0)
         older = _decision(_order(0, 2), 9, rollouts.Stage.SUCCEEDED)
-        assert not table.merge(older, rollouts.Position(0, 8), 0.0)
+        assert not table.merge(older, feeds.Position(0, 8), 0.0)
         assert table.unlogged() == [newer]
 
 
@@ -203,7 +202,7 @@
         self.previous = None
 
     def _merge(self, entry, index):
-        position = rollouts.Position(self.era, index)
+        position = feeds.Position(self.era, index)
         self.tables[entry].merge(self.log[index], position, 0.0)
         self._act(entry)
 
@@ -295,7 +294,7 @@
         # What each entry reads now is a complete list of the new era.
         for entry, table in enumerate(self.tables):
             newest = [
-                (decision, rollouts.Position(self.era, index))
+                (decision, feeds.Position(self.era, index))
                 for index, decision in enumerate(self.log)
             ][-1:]
             table.replace(newest, 0.0)
@@ -313,7 +312,7 @@
         held = [table.of('s') for table in self.tables]
         fresh = rollouts.DecisionTable()
         for index in range(len(self.log))[-1:]:
-            fresh.merge(self.log[index], rollouts.Position(9, index), 0.0)
+            fresh.merge(self.log[index], feeds.Position(9, index), 0.0)
         stages = {item and item.decision.stage for item in held}
         stages.add(fresh.of('s') and fresh.of('s').decision.stage)
         assert len(stages) == 1
--- a/packages/core/tests/test_rollout_evidence.py
+++ b/packages/core/tests/test_rollout_evidence.py
@@ -8,10 +8,11 @@
 import pytest
 
 from dragonflyslip_core import errors
+from dragonflyslip_core import feeds
 from dragonflyslip_core import rollouts
 from dragonflyslip_core.rollouts import judging
 
-ORDER = rollouts.Position(0, 7)
+ORDER = feeds.Position(0, 7)
 FIRST, LAST = rollouts.Stage.SHARE_8, rollouts.Stage.LAST
 KEYS = [
     rollouts.CellKey(FIRST, route, target)
@@ -99,7 +100,7 @@
 
     def test_report_of_another_order_is_ignored(self):
         table = rollouts.EvidenceTable(ORDER)
-        counter = rollouts.ReportCounter('g', 1, rollouts.Position(0, 8))
+        counter = rollouts.ReportCounter('g', 1, feeds.Position(0, 8))
         assert not table.merge(counter.report(0, FIRST, 0), 0.0)
 
 
--- a/packages/core/tests/test_rollout_versions.py
+++ b/packages/core/tests/test_rollout_versions.py
@@ -4,9 +4,10 @@
 
 import pytest
 
+from dragonflyslip_core import feeds
 from dragonflyslip_core import rollouts
 
-ORDER = rollouts.RolloutOrder('s', 'v2', 12.0, rollouts.Position(0, 7))
+ORDER = rollouts.RolloutOrder('s', 'v2', 12.0, feeds.Position(0, 7))
 Stage = rollouts.Stage
 NEW, NONE = rollouts.Group.NEW, rollouts.Group.NONE
 
--- a/packages/entry/src/dragonflyslip_entry/gateway/adapters.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/adapters.py
@@ -136,19 +136,19 @@
         """Apply an operator's order."""
 
     def rollout_withdrawn(
-        self, service: str, position: rollouts.Position
+        self, service: str, position: feeds.Position
     ) -> None:
         """Apply the deletion of an order."""
 
     def rollouts_listed(
-        self, services: frozenset[str], through: rollouts.Position
+        self, services: frozenset[str], through: feeds.Position
     ) -> None:
         """Apply a complete list of the services that have an order.
 
         :param services: those with a record, readable or not.
         """
 
-    def rollouts_through(self, through: rollouts.Position) -> None:
+    def rollouts_through(self, through: feeds.Position) -> None:
         """Record up to which position the orders have been read."""
 
     def record_skipped(self, key: str, reason: str) -> None:
--- a/packages/entry/src/dragonflyslip_entry/gateway/rollouts/controller.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/rollouts/controller.py
@@ -18,7 +18,6 @@
 from dragonflyslip_entry.gateway import board as board_types
 from dragonflyslip_entry.gateway.rollouts import decision_records
 from dragonflyslip_entry.gateway.rollouts import fleet_view
-from dragonflyslip_entry.gateway.rollouts import positions
 from dragonflyslip_entry.gateway.rollouts import reports
 from dragonflyslip_entry.gateway.rollouts import running as running_types
 from dragonflyslip_entry.gateway.rollouts import selection
@@ -86,7 +85,7 @@
         self._resolve(order.service)
 
     def rollout_withdrawn(
-        self, service: str, position: rollouts.Position
+        self, service: str, position: feeds.Position
     ) -> None:
         """Apply the deletion of an order's record."""
         if self.orders.delete(service, position, self.loop.time()):
@@ -94,7 +93,7 @@
         self._resolve(service)
 
     def rollouts_listed(
-        self, services: frozenset[str], through: rollouts.Position
+        self, services: frozenset[str], through: feeds.Position
     ) -> None:
         """Apply a complete list of the services that have an order."""
         known = [self.orders.of(service) for service in sorted(services)]
@@ -106,7 +105,7 @@
         for service in list(self.known):
             self._resolve(service)
 
-    def rollouts_through(self, through: rollouts.Position) -> None:
+    def rollouts_through(self, through: feeds.Position) -> None:
         """Record up to which position the orders have been read."""
         self.orders.advance(through, self.loop.time())
 
@@ -176,7 +175,7 @@
 
     def _decode(
         self, record: feeds.FeedRecord
-    ) -> tuple[rollouts.Decision, rollouts.Position] | None:
+    ) -> tuple[rollouts.Decision, feeds.Position] | None:
         if record.value is None:
             return None
         try:
@@ -185,7 +184,7 @@
             self.board.count('skipped_records')
             logs.info('record skipped', key=record.key, reason=str(error))
             return None
-        return decision, positions.of_record(record)
+        return decision, record.position
 
     def _resolve(self, service: str) -> None:
         """Apply the order and the decision that are now in force."""
@@ -284,7 +283,7 @@
                 case result.Success(position):
                     self.decisions.merge(
                         decision,
-                        positions.of_feed(position),
+                        position,
                         self.loop.time(),
                     )
                     self._resolve(decision.order.service)
--- a/packages/entry/src/dragonflyslip_entry/gateway/rollouts/decision_records.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/rollouts/decision_records.py
@@ -26,13 +26,13 @@
     offset: _Count
 
     @classmethod
-    def from_position(cls, position: rollouts.Position) -> typing.Self:
+    def from_position(cls, position: feeds.Position) -> typing.Self:
         """Return the record of a position."""
         return cls(position.era, position.offset)
 
-    def to_position(self) -> rollouts.Position:
+    def to_position(self) -> feeds.Position:
         """Return the position."""
-        return rollouts.Position(self.era, self.offset)
+        return feeds.Position(self.era, self.offset)
 
 
 class FiguresRecord(msgspec.Struct, frozen=True):
--- a/packages/entry/src/dragonflyslip_entry/gateway/rollouts/statuses.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/rollouts/statuses.py
@@ -8,6 +8,7 @@
 
 from returns import result
 
+from dragonflyslip_core import feeds
 from dragonflyslip_core import rollouts
 from dragonflyslip_entry.gateway import adapters
 from dragonflyslip_entry.gateway import board as board_types
@@ -39,7 +40,7 @@
 class PublishedStatus:
     """A status, and the decision from which it follows."""
 
-    order: rollouts.Position
+    order: feeds.Position
     status: rollouts.RolloutStatus
 
 
--- a/packages/testing/src/dragonflyslip_testing/rollout_model.py
+++ b/packages/testing/src/dragonflyslip_testing/rollout_model.py
@@ -12,6 +12,7 @@
 import math
 import random
 
+from dragonflyslip_core import feeds
 from dragonflyslip_core import placement
 from dragonflyslip_core import rollouts
 
@@ -191,7 +192,7 @@
         self._start()
 
     def _start(self) -> None:
-        position = rollouts.Position(0, 1)
+        position = feeds.Position(0, 1)
         order = rollouts.RolloutOrder(
             SERVICE, NEW, self.scenario.duration_s, position
         )
@@ -406,7 +407,7 @@
         if gateway.cut_off:
             return
         decision = self.outcome.decisions[index]
-        position = rollouts.Position(0, 100 + index)
+        position = feeds.Position(0, 100 + index)
         gateway.log_end = max(gateway.log_end, index + 1)
         gateway.decisions.merge(decision, position, self.now)
         self._resolve(gateway)
--- a/packages/wire/src/dragonflyslip_wire/rollout_messages.py
+++ b/packages/wire/src/dragonflyslip_wire/rollout_messages.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from dragonflyslip_core import feeds
 from dragonflyslip_core import rollouts
 from dragonflyslip_wire import errors
 from dragonflyslip_wire import fields
@@ -140,13 +141,13 @@
     )
 
 
-def _write_position(builder, position: rollouts.Position) -> None:
+def _write_position(builder, position: feeds.Position) -> None:
     builder.era = position.era
     builder.offset = position.offset
 
 
-def _read_position(reader) -> rollouts.Position:
-    return rollouts.Position(reader.era, reader.offset)
+def _read_position(reader) -> feeds.Position:
+    return feeds.Position(reader.era, reader.offset)
 
 
 def _check_length(items, limit: int, what: str):
--- a/packages/wire/tests/test_frames.py
+++ b/packages/wire/tests/test_frames.py
@@ -49,7 +49,7 @@
     lambda data: data.decode('utf-8', 'surrogateescape')
 )
 positions = strategies.builds(
-    rollouts.Position, strategies.integers(0, 2**32 - 1), uint64
+    feeds.Position, strategies.integers(0, 2**32 - 1), uint64
 )
 uint32 = strategies.integers(0, 2**32 - 1)
 uint8 = strategies.integers(0, 2**8 - 1)
@@ -160,7 +160,7 @@
 
 def report(**fields):
     """Return a message with a report that has these fields."""
-    order = rollouts.Position(0, 1)
+    order = feeds.Position(0, 1)
     empty = rollouts.CompactReport('e', 1, order, 1, 0, 0, 0, 0, (), (), ())
     return wire.RolloutReport('s', 'e', empty._replace(**fields))
 
--- a/tests/fuzz_parsers.py
+++ b/tests/fuzz_parsers.py
@@ -25,6 +25,7 @@
 from dragonflyslip_adapter import store_pages
 from dragonflyslip_core import errors as core_errors
 from dragonflyslip_core import feeds as feed_types
+from dragonflyslip_core import feeds
 from dragonflyslip_core import membership
 from dragonflyslip_core import rollouts
 from dragonflyslip_entry import errors
@@ -201,7 +202,7 @@
             rollouts.CompactReport(
                 'edge-1',
                 7,
-                rollouts.Position(1, 4),
+                feeds.Position(1, 4),
                 2,
                 1,
                 1,
@@ -214,7 +215,7 @@
         ),
         wire.RolloutAdvice(
             'casebook',
-            rollouts.Advice('edge-1', rollouts.Position(1, 4), True, 1),
+            rollouts.Advice('edge-1', feeds.Position(1, 4), True, 1),
             (wire.MissingReports('edge-2'),),
         ),
     )
@@ -226,6 +227,12 @@
         lambda data: records.decode_registration('i-1', data),
         (_REGISTRATION,),
     ),
+    'rollout': Parser(
+        lambda data: records.decode_rollout_order(
+            'casebook', data, feeds.START
+        ),
+        (b'{"service":"casebook","target_version":"v2","duration":"12s"}',),
+    ),
     'gateway': Parser(
         entry_records.decode,
         (b'{"incarnation":1,"failure_domain":"z","endpoint":"127.0.0.1:9"}',),
--- a/tests/test_boundaries.py
+++ b/tests/test_boundaries.py
@@ -10,7 +10,9 @@
     r'X-(?:Request-Id|Deadline-Ms|Server-Stamp|Expect-Instance|Instance-Id'
     r'|Server-Load|Not-Executed|Cold-Ms)|log-(?:read|newest|append|join)'
     r'|Store-Era|path_prefix|traffic_split|cold_per_s'
-    r'|keyed\.(?:op|servers)|/v1/'
+    r'|keyed\.(?:op|servers|status)'
+    r"|'rolled_back'"
+    r'|/v1/'
 )
 # Versioned paths of the project's own protocols would be allowed, but the
 # packages contain none at present.
