Take the process heard last as the running one of an entry

The incarnation of a gateway is a random number, but the evidence took the highest as the newest. After a restart, half of the entries would have been judged by the last report of their old process, which blocks the end of a rollout until its silence is long enough. The test had ascending incarnations; it now has descending ones and failed before.

--- a/packages/core/src/dragonflyslip_core/rollouts/evidence.py
+++ b/packages/core/src/dragonflyslip_core/rollouts/evidence.py
@@ -49,7 +49,8 @@
         self.order = order
         self.totals: dict[cell_types.CellKey, cell_types.Counts] = {}
         self._reporters: dict[ReporterKey, _Reporter] = {}
-        self._newest_incarnations: dict[str, int] = {}
+        # Incarnations have no order; the one heard last is the running one.
+        self._last_heard: dict[str, int] = {}
 
     def merge(self, report: reports.Report, now: float) -> bool:
         """Apply a report; return whether it was new."""
@@ -59,13 +60,11 @@
         known = self._reporters.get(key)
         if known is None:
             known = self._reporters[key] = _Reporter(report, now, 0, {})
-            newest = self._newest_incarnations.get(report.reporter, -1)
-            self._newest_incarnations[report.reporter] = max(
-                newest, report.incarnation
-            )
+            self._last_heard[report.reporter] = report.incarnation
         elif report.sequence > known.newest.sequence:
             known.newest = report
             known.heard_at = now
+            self._last_heard[report.reporter] = report.incarnation
         elif report.sequence <= known.complete_through:
             return False
         if report.since <= known.complete_through:
@@ -167,8 +166,8 @@
     @property
     def reporters(self) -> collections.abc.Set[str]:
         """Names of all entries that have reported."""
-        return self._newest_incarnations.keys()
+        return self._last_heard.keys()
 
     def _newest(self) -> collections.abc.Iterator[_Reporter]:
-        for key in self._newest_incarnations.items():
+        for key in self._last_heard.items():
             yield self._reporters[key]
--- a/packages/core/src/dragonflyslip_core/rollouts/reports.py
+++ b/packages/core/src/dragonflyslip_core/rollouts/reports.py
@@ -22,7 +22,7 @@
     """Counts and state of one entry in a rollout.
 
     :param reporter: name of the entry.
-    :param incarnation: number of its process; a later one is higher.
+    :param incarnation: number that identifies its process.
     :param order: position of the order.
     :param sequence: number of the report, from 1 in each incarnation.
     :param since: the report contains all cells that changed after the report
@@ -140,7 +140,7 @@
     """Counts the responses of one entry during one rollout.
 
     :param reporter: name of the entry.
-    :param incarnation: number of its process.
+    :param incarnation: number that identifies its process.
     :param order: position of the order.
     """
 
--- a/packages/core/tests/test_rollout_evidence.py
+++ b/packages/core/tests/test_rollout_evidence.py
@@ -89,10 +89,10 @@
         # Guards against old targets that are stopped under requests, and
         # against a rollout that waits for an entry that has ended.
         table = rollouts.EvidenceTable(ORDER)
-        for incarnation, state in ((1, (FIRST, 9)), (2, (stage, unfinished))):
+        for incarnation, state in ((9, (FIRST, 9)), (2, (stage, unfinished))):
             counter = rollouts.ReportCounter('g', incarnation, ORDER)
             table.merge(counter.report(0, *state), 0.0)
-        late = rollouts.ReportCounter('g', 1, ORDER).report(0, FIRST, 5)
+        late = rollouts.ReportCounter('g', 9, ORDER).report(0, FIRST, 5)
         table.merge(late, 0.0)
         names = table.unconfirmed(LAST, age_s, 4.5, {'g'} if gone else ())
         assert names == (['g'] if blocks else [])
