Count the time to stop from the signal, and bound the end as a whole

Six of 104 gateways were still there 6 s after SIGTERM and were killed. No request was lost.

Cause, in three parts that add up to more than the margin of 0.3 s:

- The schedule of a stop began when the event loop got to the signal.
- Each wait after the end of the requests had a bound of its own: 0.11 s for the connections of callers, 0.2 s each for the servers of readiness and metrics, 0.1 s for records of crashes, 0.1 s for tasks that are left.
The waits for tasks and inquiries had none.
Together 0.71 s.
- Tasks, connections to targets and servers were closed one by one: 17 ms of processor time with 554 connections to targets, 37 ms with 300 callers that do not read.

Change: StopSignals records when a signal arrives. DrainSchedule.exit_at is one bound, 0.12 s after the end of the requests, for all that is still waited for, and run_until does not wait for a coroutine that it leaves. run() then returns, and the end of the process closes the rest. Handlers in flight still get 0.03 s before they are cancelled, written responses until exit_at, which is 0.01 s more than before.

In-process tests close a gateway after run(), as its process would.

--- a/packages/entry/src/dragonflyslip_entry/caller_protocol.py
+++ b/packages/entry/src/dragonflyslip_entry/caller_protocol.py
@@ -77,6 +77,11 @@
         self.malformed = False
         self.malformed_body: streams.StreamReader | None = None
 
+    @property
+    def task(self) -> asyncio.Task[None] | None:
+        """The task that handles the requests, None if it has ended."""
+        return self._task_handler
+
     @property
     def answering(self) -> bool:
         """Whether a response is being written, or its caller still uploads.
--- a/packages/entry/src/dragonflyslip_entry/caller_server.py
+++ b/packages/entry/src/dragonflyslip_entry/caller_server.py
@@ -177,6 +177,29 @@
         """
         _log_cut_connections(self._unhandled_connections())
 
+    async def cut_requests(self) -> None:
+        """Cancel the requests in flight that do not end within a short time.
+
+        Returns when they have ended, so the calling code bounds the time.
+        """
+        tasks = set()
+        for protocol in self.busy:
+            protocol.close()
+            if protocol.task is not None:
+                tasks.add(protocol.task)
+        if not tasks:
+            return
+        _, late = await asyncio.wait(tasks, timeout=CANCEL_TIMEOUT_S)
+        for task in late:
+            task.cancel()
+        if late:
+            await asyncio.wait(late)
+
+    async def send_written(self) -> None:
+        """Wait until all that was written has been handed to the kernel."""
+        while self._is_sending():
+            await asyncio.sleep(_CLOSE_PERIOD_S)
+
     async def close(self) -> None:
         """Cancel the requests in flight, and close all connections.
 
@@ -212,6 +235,11 @@
         transport = self.transports.get(protocol)
         return transport is not None and not transport.is_closing()
 
+    def _is_sending(self) -> bool:
+        return self.unsent_data().connections > 0 or any(
+            protocol.response is not None for protocol in self.connections
+        )
+
     def _unhandled_connections(self) -> int:
         return sum(
             protocol.has_unhandled_request for protocol in self.connections
--- a/packages/entry/src/dragonflyslip_entry/cli.py
+++ b/packages/entry/src/dragonflyslip_entry/cli.py
@@ -20,9 +20,6 @@
 if typing.TYPE_CHECKING:
     from dragonflyslip_entry import settings
 
-# Time for the tasks that a daemon leaves to end after they are cancelled.
-CANCEL_TIMEOUT_S = 0.1
-
 _EPILOG = """\
 Each flag can be given as an environment variable; a flag takes precedence.
 
@@ -134,7 +131,7 @@
 ) -> int:
     """Run a daemon and return the exit code."""
     try:
-        runner.run(_run_and_cancel(daemon))
+        runner.run(_run_and_write(daemon))
     except errors.EntryError as error:
         print(error.format_message(), file=sys.stderr)
         return error.exit_code
@@ -147,20 +144,18 @@
     return 0
 
 
-async def _run_and_cancel(
+async def _run_and_write(
     daemon: collections.abc.Coroutine[typing.Any, typing.Any, None],
 ) -> None:
-    """Run a daemon, and cancel the tasks that it leaves."""
+    """Run a daemon, and write what it leaves queued.
+
+    The tasks that it leaves end with the process.
+    """
     try:
         await daemon
     finally:
-        tasks = asyncio.all_tasks() - {asyncio.current_task()}
-        for task in tasks:
-            task.cancel()
-        # Lets the event loop write what is queued, also without tasks.
+        # The event loop writes at the end of a turn.
         await asyncio.sleep(0)
-        if tasks:
-            await asyncio.wait(tasks, timeout=CANCEL_TIMEOUT_S)
 
 
 # Each process imports only the kind of entry that it runs: the modules of the
--- a/packages/entry/src/dragonflyslip_entry/gateway/crash_records.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/crash_records.py
@@ -114,10 +114,12 @@
 
     async def close(self, timeout_s: float) -> None:
         """Finish what can be written within a timeout, then give up."""
-        if self._tasks:
-            await asyncio.wait(self._tasks, timeout=timeout_s)
-        for task in self._tasks:
-            task.cancel()
+        try:
+            if self._tasks:
+                await asyncio.wait(self._tasks, timeout=timeout_s)
+        finally:
+            for task in self._tasks:
+                task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
     def _start_tasks(self) -> None:
--- a/packages/entry/src/dragonflyslip_entry/gateway/daemon.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/daemon.py
@@ -25,6 +25,7 @@
 from dragonflyslip_entry.gateway import target_selection
 from dragonflyslip_entry.gateway import topology
 from dragonflyslip_entry import logs
+from dragonflyslip_entry import stop_signals
 
 # The load balancer in front removes an instance after two failed readiness
 # checks, one a second; until then requests still arrive. The first request of
@@ -92,13 +93,20 @@
         self.server = caller_server.CallerServer(self.handler.handle)
         self.handler.busy = self.server.busy
         self.stopping = asyncio.Event()
+        self.signals = stop_signals.StopSignals(self.loop, self.stopping.set)
         self._tasks: list[asyncio.Task[None]] = []
+        self._runners: list[web.AppRunner] = []
 
     async def run(self) -> None:
-        """Serve until SIGTERM, finish the requests in flight, and return."""
+        """Serve until SIGTERM, finish the requests in flight, and return.
+
+        What is open then is left to the end of the process, which closes it
+        without a wait and with little processor time. A process that goes on
+        calls :meth:`close`.
+        """
         self._install_signals()
         logs.info('gateway starts', listen=self.options.listen)
-        runners = [
+        self._runners = [
             await self._start_http_server(
                 self.options.ready_listen,
                 self.dialect.readiness_path,
@@ -116,17 +124,32 @@
         self._start(self._run_maintenance())
         await self.stopping.wait()
         logs.info('gateway drains', in_flight=self.handler.in_flight)
-        await self._drain(listener)
-        await self._close(runners)
-        logs.info('gateway has stopped')
-
-    async def _drain(self, listener: asyncio.Server) -> None:
         schedule = drain.DrainSchedule.from_timeout(
-            self.loop.time(),
+            self.signals.since(self.loop.time()),
             self.options.stop_timeout,
             ACCEPT_AFTER_STOP_S,
             STOP_MARGIN_S,
         )
+        await self._drain(listener, schedule)
+        for task in self._tasks:
+            task.cancel()
+        await drain.run_until(schedule.exit_at, self._send_rest())
+        self.server.log_unsent_data()
+        logs.info('gateway has stopped')
+
+    async def close(self) -> None:
+        """Close the servers and connections that :meth:`run` leaves open."""
+        await self.server.close()
+        for runner in self._runners:
+            await runner.cleanup()
+        self._runners = []
+        self.pools.close()
+        self.feeds.close()
+        await self.log.close()
+
+    async def _drain(
+        self, listener: asyncio.Server, schedule: drain.DrainSchedule
+    ) -> None:
         self.board.draining = True
         self.handler.answer_by(schedule.answer_at)
         self._start(self.feeds.leave())
@@ -141,18 +164,11 @@
             self.handler.log_cut_requests()
         self.server.log_unhandled_connections()
 
-    async def _close(self, runners: list[web.AppRunner]) -> None:
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
-        await self.server.close()
-        for runner in runners:
-            await runner.cleanup()
-        self.pools.close()
-        self.feeds.close()
-        await self.crashes.close()
-        await self.log.close()
-        self.server.log_unsent_data()
+    async def _send_rest(self) -> None:
+        """Send what callers, and the other gateways, still get."""
+        # Cancelled requests make their targets suspected.
+        await self.server.cut_requests()
+        await asyncio.gather(self.server.send_written(), self.crashes.close())
 
     async def _run_maintenance(self) -> None:
         while True:
@@ -206,8 +222,7 @@
             self.stopping.set()
 
     def _install_signals(self) -> None:
-        for number in (signal.SIGTERM, signal.SIGINT):
-            self.loop.add_signal_handler(number, self.stopping.set)
+        self.signals.install()
         self.loop.add_signal_handler(signal.SIGHUP, self._reload)
 
     def _reload(self) -> None:
--- a/packages/entry/tests/test_caller_server.py
+++ b/packages/entry/tests/test_caller_server.py
@@ -54,6 +54,29 @@
             writer.transport.abort()
 
 
+class _Transport:
+    """A transport with bytes that the kernel has not taken."""
+
+    unsent_bytes = 1
+
+    def get_write_buffer_size(self) -> int:
+        return self.unsent_bytes
+
+
+class TestSending:
+    async def test_last_bytes_of_a_response_are_awaited(self, server):
+        # Guards against a response that loses what its handler has written
+        # and the kernel has not taken, as on a slow link.
+        transport = _Transport()
+        server.transports[None] = transport
+        sending = asyncio.create_task(server.send_written())
+        await asyncio.wait([sending], timeout=SEND_TIMEOUT_S)
+        assert not sending.done()
+        transport.unsent_bytes = 0
+        await sending
+        del server.transports[None]
+
+
 class TestRequestTargets:
     @pytest.mark.parametrize(
         'target',
--- a/tests/adapter/conftest.py
+++ b/tests/adapter/conftest.py
@@ -135,6 +135,8 @@
         stopped = gateway or self.gateway
         stopped.stopping.set()
         await self.tasks[stopped]
+        # As the end of its process does.
+        await stopped.close()
 
     # Tests call the function of this module through the fixture.
     route = staticmethod(lambda *a, **k: route(*a, **k))
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -455,6 +455,27 @@
         'pass',
         'tests/adapter/test_stop.py::TestRequestsAtTheClose',
     ),
+    Mutation(
+        'stop-counts-from-the-event-loop',
+        f'{_GATEWAY}/daemon.py',
+        'self.signals.since(self.loop.time())',
+        'self.loop.time()',
+        'tests/adapter/test_end.py::TestSchedule',
+    ),
+    Mutation(
+        'stop-waits-without-limit',
+        f'{_ENTRY}/drain.py',
+        'await asyncio.wait([task], timeout=at - loop.time())',
+        'await asyncio.wait([task])',
+        'tests/adapter/test_end.py::TestBounds',
+    ),
+    Mutation(
+        'stop-forgets-cut-requests',
+        f'{_ENTRY}/caller_server.py',
+        'task.cancel()',
+        'pass',
+        'tests/adapter/test_end.py::TestRecords',
+    ),
     Mutation(
         'malformed-body-unanswered',
         f'{_ENTRY}/caller_protocol.py',
