--- a/packages/entry/src/dragonflyslip_entry/daemon.py
+++ b/packages/entry/src/dragonflyslip_entry/daemon.py
@@ -2,10 +2,8 @@
 
 import asyncio
 import collections.abc
-import contextlib
 import random
 import secrets
-import signal
 import time
 import typing
 
@@ -40,6 +38,7 @@
 from dragonflyslip_entry import proxy
 from dragonflyslip_entry import service_control
 from dragonflyslip_entry import settings
+from dragonflyslip_entry import stop_signals
 from dragonflyslip_entry import target_controller
 from dragonflyslip_entry import watches
 import dragonflyslip_platform as platform
@@ -84,6 +83,7 @@
         self.loop = asyncio.get_running_loop()
         self.stopping = asyncio.Event()
         self.stop_now = asyncio.Event()
+        self.signals = stop_signals.StopSignals(self.loop, self.request_stop)
         self._tasks: list[asyncio.Task[None]] = []
         self._ready_deadline = float('inf')
         # By fingerprint: version of the configuration item with which an
@@ -284,7 +284,7 @@
 
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT, drain calls in flight and return."""
-        self._install_signals()
+        self.signals.install()
         admin_runner = await self._listen_admin()
         await self._start_controllers()
         await self._wait_until_ready()
@@ -292,8 +292,15 @@
         logs.info('entry is ready', listen=self.options.listen)
         await self.stopping.wait()
         logs.info('entry is draining', in_flight=self.proxy.in_flight)
-        await self._drain(listener)
-        await self._close(admin_runner)
+        schedule = drain.DrainSchedule.from_timeout(
+            self.signals.since(self.loop.time()),
+            self.options.stop_timeout_s,
+            self.options.drain_delay_s,
+            _STOP_MARGIN_S,
+        )
+        await self._drain(listener, schedule)
+        await drain.run_until(schedule.exit_at, self._close(admin_runner))
+        self.server.log_unsent_data()
         logs.info('entry has stopped')
 
     async def _start_controllers(self) -> None:
@@ -318,19 +325,15 @@
         while not self.ready() and not self.stopping.is_set():
             await asyncio.sleep(_READY_POLL_S)
 
-    async def _drain(self, listener: asyncio.Server) -> None:
-        now = self.loop.time()
-        schedule = drain.DrainSchedule.from_timeout(
-            now,
-            self.options.stop_timeout_s,
-            self.options.drain_delay_s,
-            _STOP_MARGIN_S,
-        )
+    async def _drain(
+        self, listener: asyncio.Server, schedule: drain.DrainSchedule
+    ) -> None:
         self.timeouts.answer_by(schedule.answer_at)
         stop_now = asyncio.ensure_future(self.stop_now.wait())
         # Callers are still served until the load balancer in front has had
         # time to see that this entry is not ready.
-        await asyncio.wait([stop_now], timeout=schedule.close_idle_at - now)
+        delay_s = schedule.close_idle_at - self.loop.time()
+        await asyncio.wait([stop_now], timeout=delay_s)
         self.board.membership.draining = True
         await self.server.receive_arrived()
         listener.close()
@@ -351,26 +354,28 @@
     async def _close(self, admin_runner: web.AppRunner) -> None:
         for task in self._tasks:
             task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
         await self.server.close()
-        await admin_runner.cleanup()
         await self.peers.links.close()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await admin_runner.cleanup()
         self.watch_table.close()
         self.pools.close()
         self.peer_pools.close()
         await self.session.close()
-        self.server.log_unsent_data()
 
     async def _listen_callers(self) -> asyncio.Server:
         host, port = flag_settings.split_endpoint(self.options.listen)
-        loop = asyncio.get_running_loop()
-        return await loop.create_server(
+        return await self.loop.create_server(
             self.server, host, port, backlog=1024, reuse_address=True
         )
 
     async def _listen_admin(self) -> web.AppRunner:
         host, port = flag_settings.split_endpoint(self.options.admin_listen)
-        runner = web.AppRunner(self.admin.application(), access_log=None)
+        runner = web.AppRunner(
+            self.admin.application(),
+            access_log=None,
+            shutdown_timeout=_STOP_MARGIN_S / 5,
+        )
         await runner.setup()
         await web.TCPSite(runner, host, port).start()
         return runner
@@ -387,12 +392,6 @@
             logs.LOGGER.error('controller failed', exc_info=task.exception())
             self.request_stop()
 
-    def _install_signals(self) -> None:
-        loop = asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGINT):
-            with contextlib.suppress(RuntimeError, ValueError):
-                loop.add_signal_handler(number, self.request_stop)
-
     def request_stop(self) -> None:
         """Start draining; a second call stops at once."""
         if self.stopping.is_set():
--- a/packages/entry/tests/test_proxy.py
+++ b/packages/entry/tests/test_proxy.py
@@ -6,10 +6,15 @@
 import time
 
 import aiohttp
+from aiohttp import web
 import pytest
 
+from dragonflyslip_entry import daemon
 from dragonflyslip_testing import slow_caller
 
+# Far more than the end of an entry takes on a busy machine.
+END_TIMEOUT_S = 15.0
+
 
 @pytest.fixture
 async def url(environment):
@@ -204,6 +209,29 @@
         assert (await reader.read()).startswith(b'HTTP/1.1 200 ')
         writer.close()
 
+    async def test_request_of_an_operator_does_not_hold_the_entry(
+        self, environment, monkeypatch
+    ):
+        # Guards against an entry that waits for a request at its admin port
+        # until it is killed.
+        released = asyncio.Event()
+        await environment.publish_service('casebook')
+        await environment.add_target('casebook-1')
+        url = await environment.add_entry('entry-1', stop_timeout_s=5.0)
+        await environment.wait_until_warm(url)
+
+        async def wait(runner: web.AppRunner) -> None:
+            await released.wait()
+
+        monkeypatch.setattr(web.AppRunner, 'cleanup', wait)
+        monkeypatch.setattr(daemon, '_STOP_MARGIN_S', 4.8)
+        environment.entries['entry-1'].request_stop()
+        try:
+            async with asyncio.timeout(END_TIMEOUT_S):
+                await asyncio.wait([environment.tasks['entry-1']])
+        finally:
+            released.set()
+
     async def test_long_upload_survives_sigterm(self, environment, url):
         release = asyncio.Event()
 
