Write the stack of a gateway that is about to be killed

The killed gateways left no trace of what held them, and the causes had to be found by trials. A gateway that still runs 0.05 s before its stop timeout ends now writes the stacks of its threads to standard error, with faulthandler, which does this from a thread of its own also while the event loop is blocked.

--- a/packages/entry/src/dragonflyslip_entry/cli.py
+++ b/packages/entry/src/dragonflyslip_entry/cli.py
@@ -4,9 +4,11 @@
 import asyncio
 import collections.abc
 import contextlib
+import faulthandler
 import gc
 import os
 import sys
+import time
 import traceback
 import typing
 
@@ -18,8 +20,12 @@
 from dragonflyslip_entry import logs
 
 if typing.TYPE_CHECKING:
+    from dragonflyslip_entry.gateway import daemon as gateway_daemon
     from dragonflyslip_entry import settings
 
+# A gateway that has not ended this long before it is killed writes its stack.
+TRACE_BEFORE_KILL_S = 0.05
+
 _EPILOG = """\
 Each flag can be given as an environment variable; a flag takes precedence.
 
@@ -173,7 +179,23 @@
         from dragonflyslip_entry.gateway import daemon
 
         adapter = adapters.load_adapter(options.adapter)
-    await daemon.Gateway(options, adapter).run()
+    gateway = daemon.Gateway(options, adapter)
+    tracing = asyncio.create_task(_trace_late_end(gateway))
+    await gateway.run()
+    tracing.cancel()
+
+
+async def _trace_late_end(gateway: "gateway_daemon.Gateway") -> None:
+    """Write the stacks to standard error if the process ends late.
+
+    A thread does it, as the event loop may be blocked then.
+    """
+    await gateway.stopping.wait()
+    now = time.monotonic()
+    killed_at = gateway.signals.since(now) + gateway.options.stop_timeout
+    faulthandler.dump_traceback_later(
+        max(TRACE_BEFORE_KILL_S, killed_at - TRACE_BEFORE_KILL_S - now)
+    )
 
 
 def _skip_ca_certificates(store_url: str) -> None:
--- a/tests/adapter/test_end.py
+++ b/tests/adapter/test_end.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import faulthandler
 import os
 import signal
 import time
@@ -64,6 +65,22 @@
         latest = _schedule(received_by, gateway.options.stop_timeout)
         assert gateway.handler.stop_at <= latest.answer_at
 
+    async def test_stack_is_written_before_the_kill(
+        self, platform, monkeypatch
+    ):
+        # Guards against a killed process that does not tell what held it.
+        delays_s: list[float] = []
+        monkeypatch.setattr(
+            faulthandler, 'dump_traceback_later', delays_s.append
+        )
+        await _start(platform)
+        gateway = platform.gateway
+        gateway.signals.received_at = time.monotonic()
+        gateway.stopping.set()
+        await cli._trace_late_end(gateway)
+        (delay_s,) = delays_s
+        assert 0.0 < delay_s < gateway.options.stop_timeout
+
     def test_waits_of_the_end_take_less_than_half_of_its_margin(self):
         # Guards against waits that leave a slow processor no time for the
         # end, and against requests that are cut too late to be recorded.
