--- a/packages/entry/src/dragonflyslip_entry/stop_signals.py
+++ b/packages/entry/src/dragonflyslip_entry/stop_signals.py
@@ -15,7 +15,7 @@
     """Handles SIGTERM and SIGINT, and records when the first one arrived.
 
     An event loop handles a signal in one of its next turns. A busy gateway
-    with 0.43 cores did so 80 to 115 ms after the interpreter had received it,
+    with 0.43 cores did so 78 to 114 ms after the interpreter had received it,
     which is a third of the time between the last response and the kill.
 
     :param on_signal: called by the event loop at each signal.
