Give emulated targets versions, and versions faults

Rollouts are judged by what the targets of a version do, so the emulator needs targets of two versions, one of them bad. A target registers its version, or none. A VersionFault makes a share of the responses fail with status 500 and the receipt, or multiplies the service time: from the start, after some seconds, above a load, or on one path prefix.

--- a/tests/adapter/test_emulator.py
+++ b/tests/adapter/test_emulator.py
@@ -1,12 +1,14 @@
 """The emulator as a separate process behind a gateway process."""
 
 import asyncio
+import collections
 import contextlib
 import sys
 
 import aiohttp
 import pytest
 
+import dragonflyslip_emulator as emulator
 from dragonflyslip_emulator import __main__ as program
 from tests.adapter import processes
 
@@ -24,6 +26,90 @@
         await process.communicate()
 
 
+class TestVersions:
+    @pytest.mark.parametrize(
+        ('fault', 'age_s', 'load', 'path', 'expected'),
+        [
+            ('after_s=5', 4.9, 0.1, '/a', False),
+            ('after_s=5', 5.0, 0.1, '/a', True),
+            ('above_load=0.5', 0.0, 0.5, '/a', False),
+            ('above_load=0.5', 0.0, 0.75, '/a', True),
+            ('path_prefix=/a/', 0.0, 0.1, '/b/a/', False),
+            ('path_prefix=/a/', 0.0, 0.1, '/a/b', True),
+        ],
+    )
+    def test_fault_shows_under_its_conditions(
+        self, fault, age_s, load, path, expected
+    ):
+        # Guards against a bad version that is taken for a good one.
+        parsed = emulator.VersionFault.parse(fault)
+        assert parsed.shows(age_s, load, path) is expected
+
+    async def test_bad_version_fails_and_is_slow_on_its_path(self):
+        # Guards against a fault that no response shows, or every one.
+        fault = emulator.VersionFault(
+            error_share=0.5, slowdown=4.0, path_prefix='/bad/'
+        )
+        target = emulator.EmulatedTarget(
+            'casebook', work_s=0.001, version='v2', version_fault=fault
+        )
+        await target.start()
+        assert target.next_registration()['info']['version'] == 'v2'
+        target.version = None
+        assert 'version' not in target.next_registration()['info']
+        statuses = collections.defaultdict(collections.Counter)
+        async with aiohttp.ClientSession() as session:
+            for path in ('/good/', '/bad/') * 40:
+                url = f'http://127.0.0.1:{target.port}{path}'
+                async with session.get(url) as response:
+                    statuses[path][response.status] += 1
+                    assert (
+                        target.target_id
+                        in (response.headers['X-Server-Stamp'])
+                    )
+        await target.close()
+        assert statuses['/good/'] == {200: 40}
+        # All alike by chance in one run of 5e11.
+        assert set(statuses['/bad/']) == {200, 500}
+        assert all(
+            run.ended_at - run.started_at >= 0.004
+            for run in target.runs
+            if run.path == '/bad/'
+        )
+
+    def test_second_version_starts_beside_the_first(self):
+        # Guards against a fault that the wrong version has.
+        options = program.build_parser().parse_args(
+            ['--second-version', 'v2', '--second-fault', 'slowdown=3']
+        )
+        services = [program.ServicePlan('a', 2), program.ServicePlan('b', 1)]
+        made = program.create_targets(options, services)
+        assert [
+            (target.service, target.version, target.version_fault.slowdown)
+            for target in made
+        ] == [
+            *[('a', 'v1', 1.0)] * 2,
+            ('b', 'v1', 1.0),
+            *[('a', 'v2', 3.0)] * 2,
+            ('b', 'v2', 3.0),
+        ]
+
+    @pytest.mark.parametrize(
+        'arguments',
+        [
+            ['--second-fault', 'slowdown=3'],
+            ['--second-version', 'v1'],
+            ['--second-version', 'v2', '--second-fault', 'error_share=2'],
+            ['--second-version', 'v2', '--second-fault', 'speed=2'],
+        ],
+    )
+    def test_unusable_version_is_an_error(self, arguments, capsys):
+        with pytest.raises(SystemExit) as stopped:
+            program.main(arguments)
+        assert stopped.value.code == 2
+        assert '--second-' in capsys.readouterr().err
+
+
 class TestProgram:
     async def test_gateway_serves_its_routes(self):
         # Guards against an example in the documentation that does not work.
