--- a/packages/entry/src/dragonflyslip_entry/cli.py
+++ b/packages/entry/src/dragonflyslip_entry/cli.py
@@ -4,9 +4,11 @@
 import asyncio
 import collections.abc
 import contextlib
+import faulthandler
 import gc
 import os
 import sys
+import time
 import traceback
 import typing
 
@@ -18,10 +20,11 @@
 from dragonflyslip_entry import logs
 
 if typing.TYPE_CHECKING:
+    from dragonflyslip_entry.gateway import daemon as gateway_daemon
     from dragonflyslip_entry import settings
 
-# Time for the tasks that a daemon leaves to end after they are cancelled.
-CANCEL_TIMEOUT_S = 0.1
+# A gateway that has not ended this long before it is killed writes its stack.
+TRACE_BEFORE_KILL_S = 0.05
 
 _EPILOG = """\
 Each flag can be given as an environment variable; a flag takes precedence.
@@ -134,7 +137,7 @@
 ) -> int:
     """Run a daemon and return the exit code."""
     try:
-        runner.run(_run_and_cancel(daemon))
+        runner.run(_run_and_write(daemon))
     except errors.EntryError as error:
         print(error.format_message(), file=sys.stderr)
         return error.exit_code
@@ -147,20 +150,18 @@
     return 0
 
 
-async def _run_and_cancel(
+async def _run_and_write(
     daemon: collections.abc.Coroutine[typing.Any, typing.Any, None],
 ) -> None:
-    """Run a daemon, and cancel the tasks that it leaves."""
+    """Run a daemon, and write what it leaves queued.
+
+    The tasks that it leaves end with the process.
+    """
     try:
         await daemon
     finally:
-        tasks = asyncio.all_tasks() - {asyncio.current_task()}
-        for task in tasks:
-            task.cancel()
-        # Lets the event loop write what is queued, also without tasks.
+        # The event loop writes at the end of a turn.
         await asyncio.sleep(0)
-        if tasks:
-            await asyncio.wait(tasks, timeout=CANCEL_TIMEOUT_S)
 
 
 # Each process imports only the kind of entry that it runs: the modules of the
@@ -178,7 +179,23 @@
         from dragonflyslip_entry.gateway import daemon
 
         adapter = adapters.load_adapter(options.adapter)
-    await daemon.Gateway(options, adapter).run()
+    gateway = daemon.Gateway(options, adapter)
+    tracing = asyncio.create_task(_trace_late_end(gateway))
+    await gateway.run()
+    tracing.cancel()
+
+
+async def _trace_late_end(gateway: "gateway_daemon.Gateway") -> None:
+    """Write the stacks to standard error if the process ends late.
+
+    A thread does it, as the event loop may be blocked then.
+    """
+    await gateway.stopping.wait()
+    now = time.monotonic()
+    killed_at = gateway.signals.since(now) + gateway.options.stop_timeout
+    faulthandler.dump_traceback_later(
+        max(TRACE_BEFORE_KILL_S, killed_at - TRACE_BEFORE_KILL_S - now)
+    )
 
 
 def _skip_ca_certificates(store_url: str) -> None:
--- a/packages/testing/src/dragonflyslip_testing/rollout_model.py
+++ b/packages/testing/src/dragonflyslip_testing/rollout_model.py
@@ -12,8 +12,8 @@
 import math
 import random
 
-from dragonflyslip_core import placement
 from dragonflyslip_core import feeds
+from dragonflyslip_core import placement
 from dragonflyslip_core import rollouts
 from dragonflyslip_core.rollouts import fleet
 from dragonflyslip_testing import rollout_scenarios as scenarios
