Decode client accounts and look up their keys by digest

Requests of a platform with client accounts need a key. The manifest had no place for accounts or for routes that take requests without a key.

Add dragonflyslip_core.accounts: an account holds the digests of its keys (blake2b, 32 bytes), and a directory finds the account of a digest with one look-up. A key that two accounts hold belongs to the first one in the manifest. Text forms of these types show neither keys nor digests, and error texts of a refused manifest hold paths and types only. The adapter decodes tenants and public; a malformed account refuses the manifest. The test of forbidden imports now covers subpackages of the core as well.

--- a/packages/core/src/dragonflyslip_core/__init__.py
+++ b/packages/core/src/dragonflyslip_core/__init__.py
@@ -21,6 +21,14 @@
 # used, so that a restarted gateway does not load the modules that it never
 # uses and can serve requests sooner.
 _NAMES_BY_MODULE = {
+    'accounts': (
+        'Access',
+        'Account',
+        'AccountDirectory',
+        'Credentials',
+        'CredentialsState',
+        'KeyCheck',
+    ),
     'admission': (
         'hedge_delay_s',
         'is_worth_sending',
--- a/packages/core/src/dragonflyslip_core/manifest.py
+++ b/packages/core/src/dragonflyslip_core/manifest.py
@@ -9,6 +9,8 @@
 import functools
 import random
 
+from dragonflyslip_core import accounts as account_types
+
 
 class RouteKind(enum.StrEnum):
     """Whether requests of a route may be repeated, whatever their method.
@@ -62,6 +64,7 @@
         lowest priority is shed first.
     :param max_attempts: number of targets that one request may be sent to.
     :param services: at least one, each with a positive weight.
+    :param public: whether it takes requests without the key of an account.
     """
 
     name: str
@@ -73,6 +76,7 @@
     priority: int
     max_attempts: int
     services: tuple[WeightedService, ...]
+    public: bool = False
 
     def choose_service(self, rng: random.Random) -> str:
         """Choose the service of one request at random, by weight.
@@ -118,12 +122,17 @@
 
 @dataclasses.dataclass(frozen=True)
 class Manifest:
-    """One version of all routes, services and limits."""
+    """One version of all routes, services and limits.
+
+    :param accounts: the client accounts; None if requests need no key. A
+        directory without accounts knows no key.
+    """
 
     version: int
     routes: tuple[Route, ...]
     services: collections.abc.Mapping[str, ServiceRules]
     limits: CallerLimits = CallerLimits()
+    accounts: account_types.AccountDirectory | None = None
 
     @property
     def routes_of_unknown_kind(self) -> tuple[str, ...]:
@@ -149,14 +158,49 @@
 
     @functools.cached_property
     def least_urgent_priority(self) -> dict[str, int]:
-        """Priority of the least urgent route (highest number), by service."""
+        """Priority of the least urgent request (highest number), by service.
+
+        The requests of any account may go to any service.
+        """
+        lowest = 0
+        if self.accounts is not None:
+            lowest = self.accounts.least_urgent_priority
         ranks: dict[str, int] = {}
         for route in self.routes:
             for part in route.services:
-                known = ranks.get(part.service, 0)
+                known = ranks.get(part.service, lowest)
                 ranks[part.service] = max(known, route.priority)
         return ranks
 
+    def check_key(
+        self,
+        credentials: account_types.Credentials,
+        route: Route,
+        confirmed: bool = True,
+    ) -> account_types.KeyCheck:
+        """Return how a request of a route is treated.
+
+        :param confirmed: whether this manifest is known to be recent enough.
+        """
+        if self.accounts is None:
+            return account_types.OPEN
+        return self.accounts.check(credentials, route.public, confirmed)
+
+    def priority_rank(
+        self,
+        service: str,
+        route: Route,
+        account: account_types.Account | None,
+    ) -> int:
+        """Return the ranks by which a request is more urgent than the least.
+
+        The priority of an account goes before that of the route.
+        """
+        priority = route.priority
+        if account is not None and account.priority is not None:
+            priority = account.priority
+        return self.least_urgent_priority[service] - priority
+
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route with the longest matching prefix, None if none.
 
--- a/packages/core/tests/test_exports.py
+++ b/packages/core/tests/test_exports.py
@@ -13,7 +13,7 @@
         package = pathlib.Path(dragonflyslip_core.__file__).parent
         imported = {
             alias.name.split('.')[0]
-            for path in package.glob('*.py')
+            for path in package.glob('**/*.py')
             for node in ast.walk(ast.parse(path.read_text()))
             if isinstance(node, ast.Import)
             for alias in node.names
--- a/tests/test_boundaries.py
+++ b/tests/test_boundaries.py
@@ -10,6 +10,7 @@
     r'X-(?:Request-Id|Deadline-Ms|Server-Stamp|Expect-Instance|Instance-Id'
     r'|Server-Load|Not-Executed|Cold-Ms)|log-(?:read|newest|append|join)'
     r'|path_prefix|traffic_split|cold_per_s|keyed\.(?:op|servers)|/v1/'
+    r'|X-Tenant-Id|api_keys|tenants'
 )
 # Versioned paths of the project's own protocols would be allowed, but the
 # packages contain none at present.
