Authenticate the requests of client accounts in the gateway

With accounts in the manifest, a request needs the key of one unless its route is public, and its target learns the account but no key.

The dialect reads Authorization: Bearer KEY into a digest and names the private headers, which reach no target however they are spelled (underscores included), repeated, or listed in Connection. The new module authenticating looks the key up after the route is found: 401 with WWW-Authenticate, without a target, on a connection that stays usable. The look-up is repeated before each attempt and in the step of the write; if the key was removed, nothing is written and the answer is 401, and if it moved to another account, the send is repeated under the other name. The account's priority goes before the route's.

A gateway that has lost touch serves the keys it knows. Without accounts, headers pass as before.

--- a/packages/entry/src/dragonflyslip_entry/gateway/adapters.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/adapters.py
@@ -8,6 +8,7 @@
 import multidict
 from returns import result
 
+from dragonflyslip_core import accounts
 from dragonflyslip_core import directory
 from dragonflyslip_core import errors as core_errors
 from dragonflyslip_core import feeds
@@ -68,15 +69,29 @@
         which a target confirms that it handled a request.
     :ivar not_run_statuses: failure statuses which state that the request has
         not run and never will.
+    :ivar private_headers: lower-case names, with hyphens, of headers that
+        never reach a target if the manifest has client accounts: those of
+        credentials, and the one that names the account.
+    :ivar key_challenge: value of ``WWW-Authenticate`` that asks for a key.
     """
 
     readiness_path: str
     end_to_end_headers: frozenset[str]
     not_run_statuses: frozenset[int]
+    private_headers: frozenset[str]
+    key_challenge: str
 
     def parse_request(self, headers: Headers) -> RequestMetadata:
         """Return what a caller's request states."""
 
+    def parse_credentials(self, headers: Headers) -> accounts.Credentials:
+        """Return what a caller's request presents as its key."""
+
+    def add_account_header(
+        self, headers: multidict.CIMultiDict[str], name: str
+    ) -> None:
+        """Add the name of a client account to the headers of a request."""
+
     def add_request_headers(
         self,
         headers: multidict.CIMultiDict[str],
@@ -199,10 +214,12 @@
         and targets.
     :ivar entries_feed: feed in which the gateways register themselves and
         record the requests that were in flight at crashes of targets.
+    :ivar manifest_feed: the one of ``feeds`` that holds the manifests.
     """
 
     dialect: Dialect
     feeds: tuple[str, ...]
+    manifest_feed: str
     entries_feed: str
 
     def open_log(self, store_url: str) -> RecordLog:
--- a/packages/entry/src/dragonflyslip_entry/gateway/calls.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/calls.py
@@ -7,6 +7,7 @@
 from aiohttp import web
 import multidict
 
+from dragonflyslip_core import accounts
 from dragonflyslip_core import manifest as manifest_types
 from dragonflyslip_core import request_crashes
 from dragonflyslip_core import request_identity
@@ -32,8 +33,9 @@
     :param caller_deadline_at: when the caller's or the route's timeout ends.
     :param waited_before_s: seconds that the caller has been trying before this
         request arrived, estimated from the timeout that it states.
-    :param priority_rank: number of ranks by which its route is more urgent
-        than the least urgent one of its service.
+    :param headers: end-to-end headers, among them the credentials.
+    :param priority_rank: number of ranks by which it is more urgent than the
+        least urgent request of its service.
     :param version: version of the manifest that chose the route.
     :param sent_to: ids of the targets that it was written to.
     :param refusals: number of targets that stated that they did not run it.
@@ -45,6 +47,8 @@
     :param crash_chain: what was known of its crashes when it was sent.
     :param is_crash_trial: whether it may be sent although it was in flight at
         several crashes.
+    :param credentials: what the caller presented as its key.
+    :param key_check: result of the last look-up of the key.
     """
 
     request_id: str
@@ -52,7 +56,7 @@
     service: manifest_types.ServiceRules
     method: str
     path: str
-    headers: multidict.CIMultiDict[str]
+    headers: multidict.CIMultiDict[str] = dataclasses.field(repr=False)
     has_body: bool
     arrived_at: float
     caller_deadline_at: float
@@ -67,6 +71,8 @@
     answered: bool = False
     crash_chain: request_crashes.Chain = request_crashes.NO_CHAIN
     is_crash_trial: bool = False
+    credentials: accounts.Credentials = accounts.NO_CREDENTIALS
+    key_check: accounts.KeyCheck = accounts.OPEN
 
     @functools.cached_property
     def path_identity(self) -> str:
@@ -75,6 +81,11 @@
             self.method, self.headers['Host'], self.path
         )
 
+    @property
+    def account(self) -> accounts.Account | None:
+        """The client account that it is served for, if any."""
+        return self.key_check.account
+
     @property
     def deadline_at(self) -> float:
         """When the request gets an error response if it has no other one."""
@@ -195,9 +206,10 @@
         try:
             chunk = await self.request.content.readany()
         except Exception as error:
+            # The text of a parser's error quotes the request.
             raise errors.CallerBodyError(
-                f'request body ended early: {error!r}'
-            ) from error
+                f'request body ended early: {type(error).__name__}'
+            ) from None
         # Known at the last bytes already, so that they identify a short body.
         self.complete = not chunk or self.request.content.at_eof()
         self._keep(chunk)
--- a/packages/entry/src/dragonflyslip_entry/gateway/daemon.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/daemon.py
@@ -1,6 +1,7 @@
 """Starts and stops the controllers and servers of one gateway."""
 
 import asyncio
+import functools
 import random
 import secrets
 import signal
@@ -13,6 +14,7 @@
 from dragonflyslip_entry import drain
 from dragonflyslip_entry import flag_settings
 from dragonflyslip_entry.gateway import adapters
+from dragonflyslip_entry.gateway import authenticating
 from dragonflyslip_entry.gateway import board as board_types
 from dragonflyslip_entry.gateway import crash_reports
 from dragonflyslip_entry.gateway import feeds
@@ -81,10 +83,19 @@
             options.name,
             options.peer_listen,
         )
+        authenticator = authenticating.Authenticator(
+            self.board,
+            self.dialect,
+            functools.partial(self.feeds.age_s, adapter.manifest_feed),
+            options.strict_revoke,
+            options.revoke_timeout,
+        )
         self.handler = handling.RequestHandler(
             self.board,
             target_selection.TargetSelector(self.board, prober),
-            sending.Sender(self.board, self.dialect, self.crashes),
+            sending.Sender(
+                self.board, self.dialect, self.crashes, authenticator
+            ),
             self.dialect,
             self.metrics,
             self.crashes,
--- a/packages/entry/src/dragonflyslip_entry/gateway/error_responses.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/error_responses.py
@@ -13,11 +13,15 @@
         colon: what follows is text of an exception, which may quote a target.
     :param retry_after_s: seconds after which the caller may try again; None
         if it should not.
+    :param challenge: value of ``WWW-Authenticate``, None for none.
+    :param route: name of the route of the request, for the log.
     """
 
     status: int
     reason: str
     retry_after_s: float | None = None
+    challenge: str | None = None
+    route: str | None = None
 
 
 # The response to requests that a stopping gateway does not pass on.
--- a/packages/entry/src/dragonflyslip_entry/gateway/feeds.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/feeds.py
@@ -252,6 +252,10 @@
             feed.copy.through is None for feed in self.feeds.values()
         )
 
+    def age_s(self, feed: str, now: float) -> float:
+        """Return the seconds since the copy of a feed was current."""
+        return self._ages(now)[feed]
+
     def _ages(self, now: float) -> dict[str, float]:
         """Return the seconds since each feed's copy was current."""
         ages = {}
--- a/packages/entry/src/dragonflyslip_entry/gateway/handling.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/handling.py
@@ -58,7 +58,10 @@
         self.sender = sender
         self.repeater = repeating.Repeater(board, target_selector, sender)
         self.responder = responses.Responder(board, dialect, sender)
-        self.matcher = request_matching.RequestMatcher(board, dialect)
+        self.authenticator = sender.authenticator
+        self.matcher = request_matching.RequestMatcher(
+            board, dialect, self.authenticator
+        )
         self.dialect = dialect
         self.metrics = gateway_metrics
         self.loop = asyncio.get_running_loop()
@@ -122,6 +125,7 @@
                 status=call.status,
                 reason=call.reason,
                 manifest=self._manifest_version(),
+                **_refused_caller(request, call),
             )
             response = self.responder.error(request, call)
             if _expects_continue(request):
@@ -201,6 +205,9 @@
         excluded: set[str] = set()
         unwritten = 0
         while True:
+            refusal = self._key_refusal(call)
+            if refusal is not None:
+                return refusal
             refused_s = await self.crashes.refused_for_s(call, body)
             if refused_s is not None:
                 call.reason = 'crashes-targets'
@@ -241,17 +248,27 @@
             call.reason = outcome.reason
             if len(call.sent_to) == sent_before:
                 unwritten += 1
-                if outcome.reason == sending.OUTDATED_REASON:
-                    # The target is not at fault and may be probed again.
+                if outcome.reason in sending.TARGET_INDEPENDENT_REASONS:
                     excluded.discard(probed.target.target_id)
                 if unwritten < MAX_UNWRITTEN_SENDS and (
                     body is None or body.can_restart
                 ):
                     continue
-                return self._final_error(call)
+                return self._key_refusal(call) or self._final_error(call)
             if not self.repeater.may_repeat(call, body):
                 return self._final_error(call)
 
+    def _key_refusal(
+        self, call: calls.Call
+    ) -> error_responses.ErrorResponse | None:
+        """Return the error of a call whose key is no longer known, if so."""
+        key_check = self.authenticator.check_call(call, self.loop.time())
+        refusal = self.authenticator.refusal(key_check, call.route)
+        if refusal is None:
+            return None
+        call.reason = refusal.reason
+        return self._final_error(call) if call.may_have_run else refusal
+
     def _is_worth_sending(
         self, call: calls.Call, probed: probing.ProbedTarget
     ) -> bool:
@@ -349,5 +366,14 @@
         )
 
 
+def _refused_caller(
+    request: web.BaseRequest, refusal: error_responses.ErrorResponse
+) -> dict[str, str | None]:
+    """Return log fields by which operators find whose key is refused."""
+    if refusal.status != 401:
+        return {}
+    return {'route': refusal.route, 'caller': request.remote}
+
+
 def _expects_continue(request: web.BaseRequest) -> bool:
     return request.headers.get('Expect', '').lower() == '100-continue'
--- a/packages/entry/src/dragonflyslip_entry/gateway/request_matching.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/request_matching.py
@@ -3,6 +3,7 @@
 from aiohttp import web
 
 from dragonflyslip_entry.gateway import adapters
+from dragonflyslip_entry.gateway import authenticating
 from dragonflyslip_entry.gateway import board as board_types
 from dragonflyslip_entry.gateway import calls
 from dragonflyslip_entry.gateway import error_responses
@@ -19,10 +20,14 @@
     """Finds the route and the service of a request."""
 
     def __init__(
-        self, board: board_types.GatewayBoard, dialect: adapters.Dialect
+        self,
+        board: board_types.GatewayBoard,
+        dialect: adapters.Dialect,
+        authenticator: authenticating.Authenticator,
     ):
         self.board = board
         self.dialect = dialect
+        self.authenticator = authenticator
 
     def match(
         self, request: web.BaseRequest, now: float, stop_at: float
@@ -48,6 +53,10 @@
         route = manifest.find_route(target.host, path)
         if route is None:
             return error_responses.ErrorResponse(404, 'no-route')
+        credentials = self.dialect.parse_credentials(request.headers)
+        key_check = self.authenticator.check(route, credentials, now)
+        if not key_check.allowed:
+            return self.authenticator.refusal(key_check, route)
         if not calls.has_time_to_end(route, now, stop_at):
             return error_responses.STOPPING
         limit = manifest.limits.max_body_bytes
@@ -84,7 +93,10 @@
             caller_deadline_at=now + min(caller_timeout_s, route.timeout_s),
             stop_at=stop_at,
             waited_before_s=waited_before_s,
-            priority_rank=manifest.least_urgent_priority[service.name]
-            - route.priority,
+            priority_rank=manifest.priority_rank(
+                service.name, route, key_check.account
+            ),
             version=manifest.version,
+            credentials=credentials,
+            key_check=key_check,
         )
--- a/packages/entry/src/dragonflyslip_entry/gateway/responses.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/responses.py
@@ -39,6 +39,8 @@
             response.headers['Retry-After'] = (
                 f'{error_response.retry_after_s:g}'
             )
+        if error_response.challenge is not None:
+            response.headers['WWW-Authenticate'] = error_response.challenge
         self._close_if_draining(request, response)
         return response
 
--- a/packages/entry/src/dragonflyslip_entry/gateway/sending.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/sending.py
@@ -4,8 +4,13 @@
 import contextlib
 import dataclasses
 
+from aiohttp import http
+import multidict
+
+from dragonflyslip_core import accounts
 from dragonflyslip_core import target_limits
 from dragonflyslip_entry.gateway import adapters
+from dragonflyslip_entry.gateway import authenticating
 from dragonflyslip_entry.gateway import board as board_types
 from dragonflyslip_entry.gateway import calls
 from dragonflyslip_entry.gateway import clocks
@@ -25,6 +30,10 @@
 REFUSAL_BODY_TIMEOUT_S = 0.1
 # Reason of a send that was held up after its target had answered a probe.
 OUTDATED_REASON = 'probe-outdated'
+# Reason of a send whose key moved to another account, or was removed.
+KEY_CHANGED_REASON = 'key-changed'
+# Reasons for which the target is not at fault and may be probed again.
+TARGET_INDEPENDENT_REASONS = frozenset({OUTDATED_REASON, KEY_CHANGED_REASON})
 # Characters of an error in the reason of a failure.
 MAX_ERROR_TEXT_LENGTH = 200
 
@@ -80,10 +89,12 @@
         board: board_types.GatewayBoard,
         dialect: adapters.Dialect,
         crashes: crash_reports.CrashReporter,
+        authenticator: authenticating.Authenticator,
     ):
         self.board = board
         self.dialect = dialect
         self.crashes = crashes
+        self.authenticator = authenticator
         self.loop = asyncio.get_running_loop()
 
     async def send(
@@ -101,11 +112,15 @@
         standing = self.board.standing_of(probed.target.target_id)
         standing.unseen += 1
         outcome: SendOutcome | None = None
+        key_check = self.authenticator.check_call(call, self.loop.time())
+        headers = self.authenticator.target_headers(call.headers, key_check)
         attempt = http_connection.Attempt(
-            self._pre_send_check(call, probed, body)
+            self._pre_send_check(call, probed, body, key_check)
         )
         try:
-            outcome = await self._exchange(call, probed, body, attempt)
+            outcome = await self._exchange(
+                call, probed, body, headers, attempt
+            )
         except http_connection.CONNECTION_ERRORS as error:
             reason = f'connection broke: {_describe(error)}'
             outcome = (
@@ -168,8 +183,17 @@
         call: calls.Call,
         probed: probing.ProbedTarget,
         body: calls.RequestBody | None,
+        key_check: accounts.KeyCheck,
     ):
+        """Return the check of a write.
+
+        :param key_check: the result from which the headers were made.
+        """
+
         def check(now: float) -> None:
+            known = self.authenticator.check_call(call, now)
+            if not (known.allowed and known.is_same_caller(key_check)):
+                raise _NotSent(KEY_CHANGED_REASON)
             if self.crashes.is_refused(call, body):
                 raise _NotSent('crashes-targets')
             if probed.is_outdated(clocks.elapsed_clock_s()):
@@ -194,6 +218,7 @@
         call: calls.Call,
         probed: probing.ProbedTarget,
         body: calls.RequestBody | None,
+        headers: multidict.CIMultiDict[str],
         attempt: http_connection.Attempt,
     ) -> SendOutcome:
         if call.request_id in probed.connection.answered_ids:
@@ -202,14 +227,13 @@
             probed.connection = await probed.pool.open()
         connection = probed.connection
         left_s = call.deadline_at - self.loop.time()
-        marked = call.headers.copy()
         self.dialect.add_request_headers(
-            marked, probed.target.target_id, left_s
+            headers, probed.target.target_id, left_s
         )
         request = http_connection.Request(
             call.method,
             call.path,
-            marked,
+            headers,
             None if body is None else body.stream(),
         )
         # The deadline of the call ends the wait before this timeout does.
@@ -317,7 +341,10 @@
 
 
 def _describe(error: Exception) -> str:
-    # A parser's error quotes the bytes of the target.
+    # A parser's error quotes the bytes of the target, which may repeat a
+    # header of the request.
+    if isinstance(error, http.HttpProcessingError):
+        return type(error).__name__
     return repr(error)[:MAX_ERROR_TEXT_LENGTH]
 
 
--- a/packages/entry/src/dragonflyslip_entry/gateway/settings.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/settings.py
@@ -126,6 +126,24 @@
             ),
         ),
     ] = 20
+    strict_revoke: typing.Annotated[
+        bool,
+        msgspec.Meta(
+            description=(
+                'whether keys of client accounts are refused while this '
+                'gateway cannot confirm them'
+            ),
+        ),
+    ] = False
+    revoke_timeout: typing.Annotated[
+        Duration,
+        msgspec.Meta(
+            description=(
+                'age of the copy of the manifest from which on keys are '
+                'not confirmed'
+            ),
+        ),
+    ] = 5.0
     log_level: typing.Annotated[
         typing.Literal['debug', 'info', 'warning', 'error'],
         msgspec.Meta(description='lowest level logged'),
--- a/tests/adapter/conftest.py
+++ b/tests/adapter/conftest.py
@@ -50,6 +50,8 @@
         self.tasks: dict[daemon.Gateway, asyncio.Task[None]] = {}
         self.session: aiohttp.ClientSession | None = None
         self.version = 0
+        # Client accounts of the manifest, None for a manifest without any.
+        self.tenants: list[dict] | None = None
         self.ids = itertools.count(1)
 
     async def add_target(
@@ -85,6 +87,7 @@
                     for name in sorted(names)
                 ],
                 'limits': {'max_body_bytes': 1_000_000},
+                **({} if self.tenants is None else {'tenants': self.tenants}),
             },
         )
 
@@ -155,10 +158,12 @@
         body: bytes | None = None,
         wait_ms: int = 2_000,
         listen: str | None = None,
+        key: str | None = None,
     ) -> Reply:
         """Send one request and return its response.
 
         :param listen: IP:PORT of a gateway, by default of the first one.
+        :param key: key of a client account.
         """
         listen = listen or self.gateway.options.listen
         headers = {
@@ -166,6 +171,8 @@
             'X-Request-Id': f'request-{next(self.ids)}',
             'X-Deadline-Ms': str(wait_ms),
         }
+        if key is not None:
+            headers['Authorization'] = f'Bearer {key}'
         try:
             async with self.session.request(
                 method,
--- a/tests/adapter/test_accounts.py
+++ b/tests/adapter/test_accounts.py
@@ -1,5 +1,8 @@
 """Client accounts: their keys in manifests, requests, logs and targets."""
 
+import asyncio
+import collections
+import dataclasses
 import json
 
 import pytest
@@ -7,8 +10,14 @@
 
 from dragonflyslip_adapter import records
 from dragonflyslip_core import accounts
+import dragonflyslip_emulator as emulator
+from tests.adapter import callers
 
 KEY = 'key-of-casebook-K7'
+OTHER_KEY = 'second-K7'
+SOUTH_KEY = 'south-K7'
+NORTH = {'name': 'north', 'api_keys': [KEY]}
+SOUTH = {'name': 'south', 'api_keys': [KEY]}
 # Part of each key in this module that no output may hold.
 SECRET = 'K7'
 
@@ -91,3 +100,408 @@
         outcome = records.decode_manifest(broken)
         assert isinstance(outcome, result.Failure)
         assert SECRET not in outcome.failure().message
+
+
+async def _start(platform, targets: int = 1, **options) -> None:
+    """Start a gateway with two accounts, a public and two other routes."""
+    for _ in range(targets):
+        await platform.add_target()
+    platform.tenants = [
+        {'name': 'north', 'api_keys': [KEY, OTHER_KEY], 'priority': 0},
+        {'name': 'south', 'api_keys': [SOUTH_KEY]},
+    ]
+    await _publish(platform)
+    await platform.start(**options)
+
+
+async def _publish(platform) -> None:
+    await platform.publish(
+        platform.route('safe', max_attempts=3),
+        platform.route('unsafe'),
+        platform.route('upload'),
+        platform.route('download', public=True),
+    )
+
+
+async def _replace(platform, *tenants: dict) -> None:
+    """Publish other accounts and wait until they are in force."""
+    platform.tenants = list(tenants)
+    await _publish(platform)
+    board = platform.gateway.board
+    await platform.until(lambda: board.manifest.version == platform.version)
+
+
+def _apply_at_once(platform, tenants: list[dict] | None) -> None:
+    """Put other accounts in force without the store."""
+    board = platform.gateway.board
+    known = board.manifest
+    directory = None
+    if tenants is not None:
+        directory = accounts.AccountDirectory(
+            accounts.Account.from_keys(item['name'], item['api_keys'])
+            for item in tenants
+        )
+    board.manifest = dataclasses.replace(
+        known, version=known.version + 1, accounts=directory
+    )
+
+
+def _account_lines(run) -> list[str]:
+    """Return the private header lines that a target got, sorted."""
+    return sorted(
+        line
+        for line in run.header_lines
+        if line.partition(':')[0].lower().replace('_', '-')
+        in ('authorization', 'x-tenant-id')
+    )
+
+
+def _encode(*lines: str, path: str = '/safe/1', method: str = 'GET') -> bytes:
+    """Return the head of a request with further header lines."""
+    head = callers.encode_request(path, method)[:-2]
+    added = ''.join(f'{line}\r\n' for line in lines)
+    return head + added.encode('latin-1') + b'\r\n'
+
+
+class TestCredentials:
+    @pytest.mark.parametrize(
+        ('lines', 'reason'),
+        [
+            ([f'Authorization: Bearer {KEY}'], ''),
+            ([f'AUTHORIZATION: bEARER {OTHER_KEY}'], ''),
+            ([], 'missing-key'),
+            (['Authorization:'], 'malformed-key'),
+            (['Authorization: Bearer'], 'malformed-key'),
+            (['Authorization: Bearer '], 'malformed-key'),
+            ([f'Authorization: Bearer  {KEY}'], 'malformed-key'),
+            ([f'Authorization: Bearer\t{KEY}'], 'malformed-key'),
+            ([f'Authorization: {KEY}'], 'malformed-key'),
+            ([f'Authorization: Basic {KEY}'], 'malformed-key'),
+            ([f'Authorization: Bearer {KEY},{KEY}'], 'unknown-key'),
+            ([f'Authorization: Bearer {KEY} x'], 'malformed-key'),
+            ([f'Authorization: Bearer {KEY}\xe9'], 'malformed-key'),
+            ([f'Authorization: Bearer {KEY * 100}'], 'malformed-key'),
+            ([f'Authorization: Bearer {KEY}x'], 'unknown-key'),
+            ([f'Authorization: Bearer {KEY.upper()}'], 'unknown-key'),
+            (2 * [f'Authorization: Bearer {KEY}'], 'malformed-key'),
+            (
+                [f'Authorization: Bearer {KEY}', 'authorization: Basic a'],
+                'malformed-key',
+            ),
+            ([f'Proxy-Authorization: Bearer {KEY}'], 'missing-key'),
+            ([f'X-Authorization: Bearer {KEY}'], 'missing-key'),
+        ],
+        ids=range(20),
+    )
+    async def test_key_decides_and_the_connection_stays(
+        self, platform, lines, reason
+    ):
+        """Guards against requests that run without a known key.
+
+        And against callers that lose their connection with a refusal.
+        """
+        await _start(platform)
+        caller = await callers.KeptConnection.open(platform.port)
+        caller.send(_encode(*lines))
+        answer = await caller.receive()
+        if reason:
+            assert answer.status == 401
+            assert answer.headers['www-authenticate'] == 'Bearer'
+            assert answer.body == f'{reason}\n'.encode()
+            assert platform.runs() == []
+            assert platform.targets[0].health_requests == 0
+        else:
+            assert answer.status == 200
+        caller.send(_encode(f'Authorization: Bearer {KEY}'))
+        assert (await caller.receive()).status == 200
+        caller.close()
+
+    async def test_unread_body_leaves_the_connection_usable(self, platform):
+        # Guards against a body that is taken for the next request.
+        await _start(platform)
+        caller = await callers.KeptConnection.open(platform.port)
+        for end in ('Content-Length: 5', 'Transfer-Encoding: chunked'):
+            caller.send(_encode(end, path='/upload/1', method='POST'))
+            assert (await caller.receive()).status == 401
+            chunked = 'chunked' in end
+            caller.send(b'5\r\nabcde\r\n0\r\n\r\n' if chunked else b'abcde')
+        caller.send(_encode(f'Authorization: Bearer {KEY}'))
+        assert (await caller.receive()).status == 200
+        caller.close()
+
+    async def test_other_errors_go_before_and_after(self, platform):
+        # Guards against 401 for what no key would allow.
+        await _start(platform)
+        assert (await platform.call('/none/1')).status == 404
+        platform.gateway.board.manifest = None
+        assert (await platform.call(key=KEY)).status == 503
+
+    async def test_without_accounts_headers_pass(self, platform):
+        # Guards against a change for deployments without accounts.
+        await platform.add_target()
+        await platform.publish()
+        await platform.start()
+        caller = await callers.KeptConnection.open(platform.port)
+        caller.send(_encode('Authorization: Basic a', 'X-Tenant-Id: b'))
+        assert (await caller.receive()).status == 200
+        assert _account_lines(platform.runs()[0]) == [
+            'Authorization: Basic a',
+            'X-Tenant-Id: b',
+        ]
+        caller.close()
+
+
+class TestTargets:
+    @pytest.mark.parametrize(
+        'lines',
+        [
+            [],
+            ['X-Tenant-Id: south'],
+            ['x-tenant-id: south', 'X_Tenant_Id: south', 'X-TENANT-ID: a'],
+            ['Connection: X-Tenant-Id, Authorization', 'X-Tenant-Id: south'],
+            ['X-Tenant-Id: south', 'Connection: close, x-tenant-id'],
+            ['aUTHORIZATION_: a', 'X-Tenant-ID:', 'X-Tenant_Id: a'],
+        ],
+    )
+    @pytest.mark.parametrize('first', [True, False])
+    async def test_target_gets_the_name_and_no_key(
+        self, platform, lines, first
+    ):
+        """Guards against a target that learns a key or a false name."""
+        await _start(platform)
+        caller = await callers.KeptConnection.open(platform.port)
+        key_line = [f'Authorization: Bearer {KEY}']
+        caller.send(
+            _encode(*(key_line + lines if first else lines + key_line))
+        )
+        assert (await caller.receive()).status == 200
+        (run,) = platform.runs()
+        assert _account_lines(run) == ['X-Tenant-Id: north']
+        assert SECRET not in ''.join(run.header_lines)
+        caller.close()
+
+    async def test_trailers_do_not_reach_a_target(self, platform):
+        # Guards against a name that arrives behind the body.
+        await _start(platform)
+        caller = await callers.KeptConnection.open(platform.port)
+        caller.send(
+            _encode(
+                f'Authorization: Bearer {KEY}',
+                'Transfer-Encoding: chunked',
+                'Trailer: X-Tenant-Id, Authorization',
+                path='/upload/1',
+                method='POST',
+            )
+            + b'1\r\na\r\n0\r\nX-Tenant-Id: south\r\n'
+            + f'Authorization: Bearer {SOUTH_KEY}\r\n\r\n'.encode()
+        )
+        assert (await caller.receive()).status == 200
+        (run,) = platform.runs()
+        assert _account_lines(run) == ['X-Tenant-Id: north']
+        assert run.body == b'a'
+        caller.close()
+
+    @pytest.mark.parametrize(
+        ('key', 'names'),
+        [
+            (KEY, ['X-Tenant-Id: north']),
+            (SOUTH_KEY, ['X-Tenant-Id: south']),
+            (KEY + 'x', []),
+            ('', []),
+            (None, []),
+        ],
+    )
+    async def test_public_route_takes_all(self, platform, key, names):
+        # Guards against a public route that refuses, or trusts, a caller.
+        await _start(platform)
+        caller = await callers.KeptConnection.open(platform.port)
+        lines = [] if key is None else [f'Authorization: Bearer {key}']
+        caller.send(_encode('X-Tenant-Id: south', *lines, path='/download/1'))
+        assert (await caller.receive()).status == 200
+        (run,) = platform.runs()
+        assert _account_lines(run) == names
+        caller.close()
+
+    async def test_all_keys_of_an_account_work_at_once(self, platform):
+        await _start(platform)
+        replies = await asyncio.gather(
+            *(
+                platform.call(key=key)
+                for key in (KEY, OTHER_KEY, SOUTH_KEY, KEY + 'x')
+            )
+        )
+        assert [reply.status for reply in replies] == [200, 200, 200, 401]
+        names = sorted(
+            line for r in platform.runs() for line in _account_lines(r)
+        )
+        assert names == 2 * ['X-Tenant-Id: north'] + ['X-Tenant-Id: south']
+
+    @pytest.mark.parametrize(
+        'fault', [emulator.Fault.ERROR, emulator.Fault.HANG]
+    )
+    async def test_repeats_carry_the_name(self, platform, fault):
+        # Guards against retries and hedges without the account.
+        await _start(platform, targets=2)
+        shared = collections.deque([fault])
+        for target in platform.targets:
+            target.faults = shared
+        assert (await platform.call(key=KEY)).status == 200
+        assert [_account_lines(run) for run in platform.runs()] == 2 * [
+            ['X-Tenant-Id: north']
+        ]
+
+    async def test_call_carries_account_and_its_priority(
+        self, platform, monkeypatch
+    ):
+        # Guards against requests that are shed by the priority of the route.
+        await _start(platform)
+        sender = platform.gateway.handler.sender
+        seen, send = [], sender.send
+
+        async def record(call, *arguments):
+            seen.append((call.account.name, call.priority_rank))
+            return await send(call, *arguments)
+
+        monkeypatch.setattr(sender, 'send', record)
+        for key in (KEY, SOUTH_KEY):
+            assert (await platform.call(key=key)).status == 200
+        assert seen == [('north', 1), ('south', 0)]
+
+
+class TestChanges:
+    async def test_kept_connection_follows_the_keys(self, platform):
+        # Guards against keys that stay valid where they were used before.
+        await _start(platform)
+        caller = await callers.KeptConnection.open(platform.port)
+        request = _encode(f'Authorization: Bearer {KEY}')
+        caller.send(request)
+        assert (await caller.receive()).status == 200
+        await _replace(platform, {'name': 'north', 'api_keys': [OTHER_KEY]})
+        caller.send(request)
+        answer = await caller.receive()
+        assert (answer.status, answer.body) == (401, b'unknown-key\n')
+        await _replace(platform, SOUTH)
+        caller.send(request)
+        assert (await caller.receive()).status == 200
+        assert [_account_lines(run) for run in platform.runs()] == [
+            ['X-Tenant-Id: north'],
+            ['X-Tenant-Id: south'],
+        ]
+        caller.close()
+
+    @pytest.mark.parametrize('kind', ['safe', 'unsafe', 'upload', 'download'])
+    @pytest.mark.parametrize(
+        ('tenants', 'names'),
+        [
+            ([NORTH], ['X-Tenant-Id: north']),
+            ([SOUTH], ['X-Tenant-Id: south']),
+            ([], None),
+            (None, [f'Authorization: Bearer {KEY}']),
+        ],
+    )
+    @pytest.mark.parametrize('moment', ['choice', 'write'])
+    async def test_change_during_a_request_counts(
+        self, platform, monkeypatch, kind, tenants, names, moment
+    ):
+        """Guards against a write with a key that was removed or moved.
+
+        The head of an upload is made before its body arrives, and is written
+        with the first bytes of the body.
+        """
+        await _start(platform)
+        public = kind == 'download'
+        if tenants == [] and public:
+            names = []
+        body = b'abc' if kind in ('unsafe', 'upload') else None
+        handler = platform.gateway.handler
+        owner, name = {
+            'choice': (handler.target_selector, 'choose'),
+            'write': (handler.sender, '_exchange'),
+        }[moment]
+        original = getattr(owner, name)
+        changed = []
+
+        async def change(*arguments):
+            if moment == 'choice':
+                found = await original(*arguments)
+            if not changed:
+                changed.append(True)
+                _apply_at_once(platform, tenants)
+            return found if moment == 'choice' else await original(*arguments)
+
+        monkeypatch.setattr(owner, name, change)
+        method = 'GET' if body is None else 'POST'
+        reply = await platform.call(f'/{kind}/1', method, body, key=KEY)
+        assert changed
+        if names is None:
+            assert (reply.status, reply.body) == (401, b'unknown-key\n')
+            assert platform.runs() == []
+        else:
+            assert reply.status == 200
+            assert [_account_lines(run) for run in platform.runs()] == [names]
+
+    async def test_accounts_of_a_new_manifest_hide_the_key(self, platform):
+        # Guards against a key that reaches a target with the first manifest
+        # that has accounts.
+        await _start(platform)
+        _apply_at_once(platform, None)
+        selector = platform.gateway.handler.target_selector
+        choose = selector.choose
+
+        async def change(*arguments):
+            _apply_at_once(platform, [NORTH])
+            return await choose(*arguments)
+
+        selector.choose = change
+        assert (await platform.call(key=KEY)).status == 200
+        assert [_account_lines(run) for run in platform.runs()] == [
+            ['X-Tenant-Id: north']
+        ]
+
+    async def test_removal_ends_the_repeats_of_a_request(self, platform):
+        # Guards against a retry that runs with a removed key. The request
+        # may have run, so 401 would be wrong.
+        await _start(platform, targets=2)
+        for target in platform.targets:
+            target.faults.append(emulator.Fault.ERROR)
+            execute = target._execute
+
+            async def remove(*arguments, execute=execute):
+                _apply_at_once(platform, [])
+                return await execute(*arguments)
+
+            target._execute = remove
+        assert (await platform.call(key=KEY)).status == 502
+        assert len(platform.runs()) == 1
+
+
+class TestLostTouch:
+    @pytest.mark.parametrize(
+        ('strict', 'age_s', 'status'),
+        [
+            (False, 9.0, 200),
+            (True, 4.0, 200),
+            (True, 9.0, 503),
+        ],
+    )
+    async def test_strict_gateway_refuses_what_it_cannot_confirm(
+        self, platform, strict, age_s, status
+    ):
+        """Guards against keys that work for as long as a gateway is cut off.
+
+        And against an outage of the store that refuses all requests.
+        """
+        await _start(platform, strict_revoke=strict, revoke_timeout='5s')
+        authenticator = platform.gateway.handler.authenticator
+        now = asyncio.get_running_loop().time()
+        assert authenticator.manifest_age_s(now) < 5.0
+        authenticator.manifest_age_s = lambda now: age_s
+        reply = await platform.call(key=KEY)
+        assert reply.status == status
+        if status == 503:
+            assert float(reply.headers['Retry-After']) > 0
+            assert platform.runs() == []
+        reply = await platform.call('/download/1', key=KEY)
+        assert reply.status == 200
+        names = [] if status == 503 else ['X-Tenant-Id: north']
+        assert _account_lines(platform.runs()[-1]) == names
