Keep keys out of logs and error texts

Texts of the HTTP parser quote the bytes that it could not read. A target that repeats a header in a malformed head, and a store whose response breaks off, thus put keys into the reason of log lines. The error of a request body that does not parse was chained and would have been printed with a traceback.

http_connection.describe_error names only the type of such errors. Unexpected exceptions of requests and records are logged with a traceback without their texts, and the HTTP server logs its own that way instead of on standard error.

Result: a gateway process gets 43 odd requests twice each, a target that quotes requests, and a manifest that it refuses; no key is in its output, its metrics or its responses.

--- a/packages/entry/src/dragonflyslip_entry/caller_protocol.py
+++ b/packages/entry/src/dragonflyslip_entry/caller_protocol.py
@@ -9,6 +9,7 @@
 
 from dragonflyslip_core import outcomes
 from dragonflyslip_entry import errors
+from dragonflyslip_entry import logs
 from dragonflyslip_entry import problems
 
 # A drain waits no longer than this for the next part of a request.
@@ -239,6 +240,14 @@
             # Ends with the connection, which cancels it.
             await asyncio.sleep(PART_TIMEOUT_S)
 
+    def log_exception(self, *args: typing.Any, **kw: typing.Any) -> None:
+        """Log an unexpected exception, of which the text is left out."""
+        error = kw.get('exc_info')
+        trace = ''
+        if isinstance(error, BaseException):
+            trace = logs.trace_without_texts(error)
+        logs.LOGGER.error(*args, extra={'trace': trace})
+
     def handle_error(
         self,
         request: web.BaseRequest,
--- a/packages/entry/src/dragonflyslip_entry/gateway/feeds.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/feeds.py
@@ -409,8 +409,12 @@
             self.board.count('program_faults')
             logs.LOGGER.error(
                 'changes could not be applied',
-                exc_info=error,
-                extra={'feed': name, 'through': changes.through},
+                extra={
+                    'feed': name,
+                    'through': changes.through,
+                    # A text may quote a record, and with it keys.
+                    'trace': logs.trace_without_texts(error),
+                },
             )
 
     def _apply_gateways(self, page: feeds.FeedPage) -> None:
--- a/packages/entry/src/dragonflyslip_entry/gateway/handling.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/handling.py
@@ -25,6 +25,7 @@
 from dragonflyslip_entry.gateway import responses
 from dragonflyslip_entry.gateway import sending
 from dragonflyslip_entry.gateway import target_selection
+from dragonflyslip_entry import http_connection
 from dragonflyslip_entry import logs
 
 # A send that fails before a byte is written costs the target nothing and is
@@ -146,7 +147,8 @@
             raise
         except Exception as error:
             if request.writer.output_size > 0 or request.transport is None:
-                call.reason = f'response aborted: {error!r}'
+                text = http_connection.describe_error(error)
+                call.reason = f'response aborted: {text}'
                 self._log_result(call, 'response aborted', None)
                 raise
             if isinstance(error, errors.CallerBodyError):
@@ -184,8 +186,10 @@
         self.board.count('program_faults')
         logs.LOGGER.error(
             'request failed with an unexpected exception',
-            exc_info=error,
-            extra={'request': call.request_id},
+            extra={
+                'request': call.request_id,
+                'trace': logs.trace_without_texts(error),
+            },
         )
         call.reason = f'unexpected exception: {type(error).__name__}'
         return self._final_error(call)
--- a/packages/entry/src/dragonflyslip_entry/gateway/sending.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/sending.py
@@ -4,7 +4,6 @@
 import contextlib
 import dataclasses
 
-from aiohttp import http
 import multidict
 
 from dragonflyslip_core import accounts
@@ -34,8 +33,6 @@
 KEY_CHANGED_REASON = 'key-changed'
 # Reasons for which the target is not at fault and may be probed again.
 TARGET_INDEPENDENT_REASONS = frozenset({OUTDATED_REASON, KEY_CHANGED_REASON})
-# Characters of an error in the reason of a failure.
-MAX_ERROR_TEXT_LENGTH = 200
 
 
 @dataclasses.dataclass
@@ -122,7 +119,9 @@
                 call, probed, body, headers, attempt
             )
         except http_connection.CONNECTION_ERRORS as error:
-            reason = f'connection broke: {_describe(error)}'
+            reason = (
+                f'connection broke: {http_connection.describe_error(error)}'
+            )
             outcome = (
                 ResponseLost(reason) if attempt.written else NotRun(reason)
             )
@@ -340,14 +339,6 @@
         standing.record(failed, now)
 
 
-def _describe(error: Exception) -> str:
-    # A parser's error quotes the bytes of the target, which may repeat a
-    # header of the request.
-    if isinstance(error, http.HttpProcessingError):
-        return type(error).__name__
-    return repr(error)[:MAX_ERROR_TEXT_LENGTH]
-
-
 class _NotSent(Exception):
     """The target may not get the request now; nothing was written to it."""
 
--- a/packages/entry/src/dragonflyslip_entry/http_connection.py
+++ b/packages/entry/src/dragonflyslip_entry/http_connection.py
@@ -34,6 +34,12 @@
 _READ_BUFFER_BYTES = 65_536
 # Requests of callers on one connection, so that their ids can be kept.
 MAX_ANSWERED_IDS = 256
+# Characters of an error in the reason of a failure.
+MAX_ERROR_TEXT_LENGTH = 200
+_QUOTING_ERRORS = (
+    client_exceptions.ClientPayloadError,
+    http.HttpProcessingError,
+)
 _CONTINUE = 100
 _SWITCHING_PROTOCOLS = 101
 _CONTROL_CHARACTERS = re.compile(r'[\x00-\x08\x0a-\x1f\x7f]')
@@ -351,6 +357,18 @@
         raise errors.MalformedHeadError('control character in the head')
 
 
+def describe_error(error: Exception) -> str:
+    """Return the text of an error for the log.
+
+    A parser's error quotes the bytes that it read, which may hold a key: a
+    target may repeat a header of the request, and a store sends the keys of
+    all accounts. So only its type is named.
+    """
+    if isinstance(error, _QUOTING_ERRORS):
+        return type(error).__name__
+    return repr(error)[:MAX_ERROR_TEXT_LENGTH]
+
+
 # Raised for a broken connection, or a malformed or overlong response.
 CONNECTION_ERRORS = (
     client_exceptions.ClientError,
--- a/packages/entry/src/dragonflyslip_entry/logs.py
+++ b/packages/entry/src/dragonflyslip_entry/logs.py
@@ -8,6 +8,7 @@
 import logging
 import os
 import sys
+import traceback
 
 from pythonjsonlogger import json as json_logger
 
@@ -17,6 +18,8 @@
 # Request lines beyond this rate are dropped and counted.
 REQUEST_LINES_PER_S = 200
 SUMMARY_INTERVAL_S = 5.0
+# Errors of one chain whose tracebacks are logged.
+MAX_CHAINED_ERRORS = 4
 
 
 class QueueHandler(logging.Handler):
@@ -125,6 +128,20 @@
         LOGGER.handle(record)
 
 
+def trace_without_texts(error: BaseException) -> str:
+    """Return the traceback of an error, of whose texts only types are shown.
+
+    The text of an error may quote a request, and with it a key.
+    """
+    parts = []
+    cause: BaseException | None = error
+    while cause is not None and len(parts) < MAX_CHAINED_ERRORS:
+        frames = ''.join(traceback.format_tb(cause.__traceback__))
+        parts.append(f'{frames}{type(cause).__name__}')
+        cause = cause.__cause__ or cause.__context__
+    return '\ncaused by:\n'.join(parts)
+
+
 def dropped() -> int:
     """Return how many lines were dropped since the start."""
     lost = sum(getattr(handler, 'dropped', 0) for handler in LOGGER.handlers)
--- a/tests/adapter/processes.py
+++ b/tests/adapter/processes.py
@@ -38,14 +38,19 @@
         )
 
     async def start(
-        self, stdout: int = asyncio.subprocess.DEVNULL
+        self,
+        stdout: int = asyncio.subprocess.DEVNULL,
+        stderr: int | None = None,
     ) -> asyncio.subprocess.Process:
         """Start the process; the caller must end it.
 
         :param stdout: where its log lines go.
+        :param stderr: where other output goes, by default to that of the
+            test.
         """
         return await asyncio.create_subprocess_exec(
             *(sys.executable, '-m', 'dragonflyslip_entry', 'gateway'),
             *self.arguments,
             stdout=stdout,
+            stderr=stderr,
         )
--- a/tests/adapter/test_accounts.py
+++ b/tests/adapter/test_accounts.py
@@ -2,16 +2,26 @@
 
 import asyncio
 import collections
+import contextlib
 import dataclasses
 import json
+import traceback
+import types
 
+from aiohttp import http
 import pytest
 from returns import result
 
 from dragonflyslip_adapter import records
+from dragonflyslip_adapter import store
 from dragonflyslip_core import accounts
 import dragonflyslip_emulator as emulator
+from dragonflyslip_entry import errors
+from dragonflyslip_entry.gateway import calls
+from dragonflyslip_entry import http_connection
+from dragonflyslip_entry import logs
 from tests.adapter import callers
+from tests.adapter import processes
 
 KEY = 'key-of-casebook-K7'
 OTHER_KEY = 'second-K7'
@@ -505,3 +515,196 @@
         assert reply.status == 200
         names = [] if status == 503 else ['X-Tenant-Id: north']
         assert _account_lines(platform.runs()[-1]) == names
+
+
+BEARER = f'Authorization: Bearer {KEY}'
+CHUNKED = 'Transfer-Encoding: chunked'
+POST_HEAD = _encode(BEARER, CHUNKED, path='/upload/1', method='POST')
+REFUSED_HEAD = _encode(BEARER + 'x', CHUNKED, path='/upload/1', method='POST')
+ODD_REQUESTS = [
+    _encode(BEARER),
+    _encode(BEARER + 'x'),
+    _encode(BEARER, BEARER),
+    _encode(BEARER + '\x01'),
+    _encode(BEARER + '\x00'),
+    _encode(BEARER + '\xe9'),
+    _encode(BEARER.replace(':', '')),
+    _encode(BEARER.replace(':', ' :')),
+    _encode(f'Auth\x01: {KEY}'),
+    _encode(f'{KEY}\xe9 {KEY}: a'),
+    _encode(f' {BEARER}'),
+    _encode(BEARER + KEY * 1_000),
+    _encode(BEARER, path='/none/1'),
+    _encode(BEARER, path=f'/safe/1?key={KEY}'),
+    _encode(BEARER, path=f'/safe/ {KEY}'),
+    _encode(BEARER, path=f'http://[{KEY}/safe/1'),
+    _encode(BEARER, path=f'http://{KEY}:x/safe/1'),
+    _encode(BEARER, method=f'{KEY}\x01'),
+    _encode(BEARER, method=KEY),
+    _encode(BEARER, 'Content-Length: x'),
+    _encode(BEARER, f'Content-Length: {KEY}'),
+    _encode(BEARER, f'Content-Encoding: {KEY}'),
+    _encode(BEARER, f'Transfer-Encoding: {KEY}'),
+    _encode(BEARER, f'Expect: {KEY}'),
+    _encode(BEARER, 'Connection: upgrade', f'Upgrade: {KEY}'),
+    _encode(BEARER, f'X-Deadline-Ms: {KEY}'),
+    _encode(BEARER) + f'{KEY}\r\n\r\n'.encode(),
+    *(
+        head + part
+        for head in (POST_HEAD, REFUSED_HEAD)
+        for part in (
+            f'{KEY}\r\n'.encode(),
+            f'1;{KEY}\x01\r\na\r\n0\r\n\r\n'.encode(),
+            f'1\r\na{KEY}\r\n0\r\n\r\n'.encode(),
+            f'1\r\na\r\n0\r\n{BEARER}\x01\r\n\r\n'.encode(),
+            f'1\r\na\r\n0\r\n{BEARER.replace(":", "")}\r\n\r\n'.encode(),
+            f'1\r\na\r\n0\r\n{BEARER}{KEY * 1_000}\r\n\r\n'.encode(),
+            f'1\r\na\r\n0\r\n{BEARER}\r\n'.encode(),
+            b'1\r\na\r\n',
+        )
+    ),
+]
+
+
+async def _send_odd(port: int, data: bytes, pause_s: float) -> bytes:
+    """Send a request in two parts and return all that follows."""
+    reader, writer = await asyncio.open_connection('127.0.0.1', port)
+    head, separator, body = data.partition(b'\r\n\r\n')
+    writer.write(head + separator)
+    await asyncio.sleep(pause_s)
+    writer.write(body)
+    received = b''
+    with contextlib.suppress(TimeoutError, ConnectionError):
+        async with asyncio.timeout(0.4):
+            received = await reader.read()
+    writer.transport.abort()
+    return received
+
+
+class TestOutput:
+    @pytest.mark.parametrize('has_accounts', [True, False])
+    async def test_no_output_holds_a_key(self, platform, has_accounts):
+        """Guards against keys in logs, metrics, traces and error texts."""
+        target = await platform.add_target()
+        target.slots = 100
+        if has_accounts:
+            platform.tenants = [NORTH]
+        await platform.publish(
+            platform.route('safe'), platform.route('upload')
+        )
+        gateway = processes.GatewayProcess.from_store(
+            'gateway-1', platform.store.url, '--log-level', 'debug'
+        )
+        process = await gateway.start(
+            asyncio.subprocess.PIPE, asyncio.subprocess.STDOUT
+        )
+        output = asyncio.create_task(process.stdout.read())
+        port = int(gateway.listen.rpartition(':')[2])
+        try:
+            async with asyncio.timeout(10.0):
+                while True:
+                    reply = await platform.call(listen=gateway.listen, key=KEY)
+                    if reply.status == 200:
+                        break
+                    await asyncio.sleep(0.05)
+            received = await asyncio.gather(
+                *(
+                    _send_odd(port, data, pause_s)
+                    for data in ODD_REQUESTS
+                    for pause_s in (0.0, 0.05)
+                )
+            )
+            # A target whose response quotes the request.
+            _respond_with_request(target)
+            received += await asyncio.gather(
+                *(_send_odd(port, _encode(BEARER), 0.0) for _ in range(3))
+            )
+            await platform.store.put(
+                'keyed.op',
+                'config',
+                _manifest([{'name': 'a', 'api_keys': [KEY + ' ']}]),
+            )
+            metrics = gateway.arguments[
+                gateway.arguments.index('--metrics-listen') + 1
+            ]
+            async with platform.session.get(
+                f'http://{metrics}/metrics'
+            ) as response:
+                received.append(await response.read())
+            await asyncio.sleep(0.5)
+        finally:
+            process.terminate()
+            await process.wait()
+        text = (await output).decode()
+        assert 'record skipped' in text
+        # A failure shows these lines, which must not hold keys either.
+        assert _redact_leaks(text) == []
+        assert _redact_leaks(b''.join(received).decode('latin-1')) == []
+        assert 'request answered' in text
+        assert ('"status": 401' in text) == has_accounts
+
+    async def test_errors_of_a_request_are_logged_without_their_text(self):
+        # Guards against an exception that quotes a line of a request.
+        class Content:
+            async def readany(self):
+                raise http.HttpProcessingError(code=400, message=KEY)
+
+        body = calls.RequestBody(types.SimpleNamespace(content=Content()))
+        with pytest.raises(errors.CallerBodyError) as caught:
+            await body.read_head()
+        shown = [
+            ''.join(traceback.format_exception(caught.value)),
+            logs.trace_without_texts(caught.value),
+            http_connection.describe_error(
+                http.HttpProcessingError(message=KEY)
+            ),
+        ]
+        assert _redact_leaks('\n'.join(shown)) == []
+        assert 'HttpProcessingError' in shown[1]
+        assert 'readany' in shown[1]
+
+    @pytest.mark.parametrize('ends_with', [b'\r\n', b'\x00\r\n\r\n'])
+    async def test_failed_read_of_the_store_shows_no_key(self, ends_with):
+        # Guards against a parser that quotes a manifest in a log line.
+        async def respond(reader, writer):
+            writer.write(
+                b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
+                + KEY.encode()
+                + ends_with
+            )
+            with contextlib.suppress(ConnectionError):
+                await reader.read()
+            writer.close()
+            ended.set()
+
+        ended = asyncio.Event()
+        server = await asyncio.start_server(respond, '127.0.0.1', 0)
+        port = server.sockets[0].getsockname()[1]
+        client = store.Store(f'http://127.0.0.1:{port}')
+        outcome = await client.newest('keyed.op')
+        await client.close()
+        await ended.wait()
+        server.close()
+        await server.wait_closed()
+        assert _redact_leaks(outcome.failure().message) == []
+
+
+def _redact_leaks(text: str) -> list[str]:
+    """Return the lines that hold a part of a key, without that part."""
+    return [
+        line.replace(SECRET, '*')
+        for line in text.splitlines()
+        if SECRET in line
+    ]
+
+
+def _respond_with_request(target) -> None:
+    """Let a target respond with a malformed head that quotes a request."""
+
+    def write(request, writer, fault) -> bool:
+        key_lines = [line for line in request.lines if SECRET in line]
+        quoted = ''.join(f'{line}\x00\r\n' for line in key_lines or ['A: b'])
+        writer.write(f'HTTP/1.1 200 OK\r\n{quoted}\r\n'.encode())
+        return False
+
+    target._write_outcome = write
