--- a/packages/entry/src/dragonflyslip_entry/gateway/daemon.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/daemon.py
@@ -1,6 +1,7 @@
 """Starts and stops the controllers and servers of one gateway."""
 
 import asyncio
+import functools
 import random
 import secrets
 import signal
@@ -14,6 +15,7 @@
 from dragonflyslip_entry import drain
 from dragonflyslip_entry import flag_settings
 from dragonflyslip_entry.gateway import adapters
+from dragonflyslip_entry.gateway import authenticating
 from dragonflyslip_entry.gateway import board as board_types
 from dragonflyslip_entry.gateway import crash_reports
 from dragonflyslip_entry.gateway import feeds
@@ -114,10 +116,23 @@
                 wire.Hello: self.network,
             },
         )
+        authenticator = authenticating.Authenticator(
+            self.board,
+            self.dialect,
+            functools.partial(self.feeds.age_s, adapter.manifest_feed),
+            options.strict_revoke,
+            options.revoke_timeout,
+        )
         self.handler = handling.RequestHandler(
             self.board,
             target_selection.TargetSelector(self.board, prober),
-            sending.Sender(self.board, self.dialect, self.crashes, versions),
+            sending.Sender(
+                self.board,
+                self.dialect,
+                self.crashes,
+                versions,
+                authenticator,
+            ),
             self.dialect,
             self.metrics,
             self.crashes,
--- a/packages/entry/src/dragonflyslip_entry/gateway/feeds.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/feeds.py
@@ -211,6 +211,10 @@
             feed.copy.through is None for feed in self.feeds.values()
         )
 
+    def age_s(self, feed: str, now: float) -> float:
+        """Return the seconds since the copy of a feed was current."""
+        return self._ages(now)[feed]
+
     def _ages(self, now: float) -> dict[str, float]:
         """Return the seconds since each feed's copy was current."""
         ages = {}
@@ -413,6 +417,10 @@
             self.board.count('program_faults')
             logs.LOGGER.error(
                 'changes could not be applied',
-                exc_info=error,
-                extra={'feed': name, 'through': changes.through.offset},
+                extra={
+                    'feed': name,
+                    'through': changes.through.offset,
+                    # A text may quote a record, and with it keys.
+                    'trace': logs.trace_without_texts(error),
+                },
             )
--- a/packages/entry/src/dragonflyslip_entry/gateway/handling.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/handling.py
@@ -26,6 +26,7 @@
 from dragonflyslip_entry.gateway import responses
 from dragonflyslip_entry.gateway import sending
 from dragonflyslip_entry.gateway import target_selection
+from dragonflyslip_entry import http_connection
 from dragonflyslip_entry import logs
 
 # A send that fails before a byte is written costs the target nothing and is
@@ -60,7 +61,10 @@
         self.versions = sender.versions
         self.repeater = repeating.Repeater(board, target_selector, sender)
         self.responder = responses.Responder(board, dialect, sender)
-        self.matcher = request_matching.RequestMatcher(board, dialect)
+        self.authenticator = sender.authenticator
+        self.matcher = request_matching.RequestMatcher(
+            board, dialect, self.authenticator
+        )
         self.dialect = dialect
         self.metrics = gateway_metrics
         self.loop = asyncio.get_running_loop()
@@ -124,6 +128,7 @@
                 status=call.status,
                 reason=call.reason,
                 manifest=self._manifest_version(),
+                **_refused_caller(request, call),
             )
             response = self.responder.error(request, call)
             if _expects_continue(request):
@@ -144,7 +149,8 @@
             raise
         except Exception as error:
             if request.writer.output_size > 0 or request.transport is None:
-                call.reason = f'response aborted: {error!r}'
+                text = http_connection.describe_error(error)
+                call.reason = f'response aborted: {text}'
                 self._log_result(call, 'response aborted', None)
                 raise
             if isinstance(error, errors.CallerBodyError):
@@ -182,8 +188,10 @@
         self.board.count('program_faults')
         logs.LOGGER.error(
             'request failed with an unexpected exception',
-            exc_info=error,
-            extra={'request': call.request_id},
+            extra={
+                'request': call.request_id,
+                'trace': logs.trace_without_texts(error),
+            },
         )
         call.reason = f'unexpected exception: {type(error).__name__}'
         return self._final_error(call)
@@ -203,6 +211,9 @@
         excluded: set[str] = set()
         unwritten = 0
         while True:
+            refusal = self._key_refusal(call)
+            if refusal is not None:
+                return refusal
             refused_s = await self.crashes.refused_for_s(call, body)
             if refused_s is not None:
                 call.reason = 'crashes-targets'
@@ -241,14 +252,13 @@
             call.reason = outcome.reason
             if len(call.sent_to) == sent_before:
                 unwritten += 1
-                if outcome.reason in sending.BLAMELESS_REASONS:
-                    # The target is not at fault and may be probed again.
+                if outcome.reason in sending.TARGET_INDEPENDENT_REASONS:
                     excluded.discard(probed.target.target_id)
                 if unwritten < MAX_UNWRITTEN_SENDS and (
                     body is None or body.can_restart
                 ):
                     continue
-                return self._final_error(call)
+                return self._key_refusal(call) or self._final_error(call)
             if not self.repeater.may_repeat(call, body):
                 return self._final_error(call)
 
@@ -272,6 +282,17 @@
             )
         return probed
 
+    def _key_refusal(
+        self, call: calls.Call
+    ) -> error_responses.ErrorResponse | None:
+        """Return the error of a call whose key is no longer known, if so."""
+        key_check = self.authenticator.check_call(call, self.loop.time())
+        refusal = self.authenticator.refusal(key_check, call.route)
+        if refusal is None:
+            return None
+        call.reason = refusal.reason
+        return self._final_error(call) if call.may_have_run else refusal
+
     def _is_worth_sending(
         self, call: calls.Call, probed: probing.ProbedTarget
     ) -> bool:
@@ -375,5 +396,14 @@
         return {} if versions is None else {'versions': versions}
 
 
+def _refused_caller(
+    request: web.BaseRequest, refusal: error_responses.ErrorResponse
+) -> dict[str, str | None]:
+    """Return log fields by which operators find whose key is refused."""
+    if refusal.status != 401:
+        return {}
+    return {'route': refusal.route, 'caller': request.remote}
+
+
 def _expects_continue(request: web.BaseRequest) -> bool:
     return request.headers.get('Expect', '').lower() == '100-continue'
--- a/tests/test_boundaries.py
+++ b/tests/test_boundaries.py
@@ -12,7 +12,7 @@
     r'|Store-Era|path_prefix|traffic_split|cold_per_s'
     r'|keyed\.(?:op|servers|status)'
     r"|'rolled_back'"
-    r'|/v1/'
+    r'|/v1/|X-Tenant-Id|api_keys|tenants'
 )
 # Versioned paths of the project's own protocols would be allowed, but the
 # packages contain none at present.
