Use a new version when no other target is usable

A gateway that starts while two versions run holds back the version that seems new for 1.5 s. If the targets of the other one drain, or the order excludes it, it refused all requests with 503 in that time. With equal start times, the id of a target decided which version was new.

The delay now applies only while it leaves a usable target. In the first list of targets, all versions with the earliest start time are known. A version that started later still waits, since its order may not have arrived; test_start_beside_two_versions guards that.

The four cases of the new test failed before the change and pass with it, as do the other tests of test_rollout_versions.py.

--- a/packages/core/src/dragonflyslip_core/rollouts/versions.py
+++ b/packages/core/src/dragonflyslip_core/rollouts/versions.py
@@ -83,8 +83,11 @@
         self._versions = {t.version for t in targets}
         appeared = self._versions - self._usable_at.keys()
         if not self._usable_at and targets:
-            # At the start, all but the version that runs longest are new.
-            self._usable_at[min(targets, key=_start).version] = now
+            # At the start, those that started after the first one are new.
+            first_ms = min(t.started_at_ms for t in targets)
+            for target in targets:
+                if target.started_at_ms == first_ms:
+                    self._usable_at[target.version] = now
         delay_s = APPEARANCE_DELAY_S if len(self._versions) > 1 else 0.0
         for version in appeared:
             self._usable_at.setdefault(version, now + delay_s)
@@ -157,8 +160,10 @@
             if rollout.is_running:
                 excluded.add(wanted)
         old = self._ids(lambda v: v not in excluded and v not in delayed)
-        # At an entry that starts, the only old version may seem to be new.
-        old = old or self._ids(lambda v: v not in excluded)
+        # The delay must not refuse requests. At an entry that starts, the only
+        # old version may seem to be new, or the other ones may be draining.
+        if not any(t.usable for t in self.targets if t.target_id in old):
+            old = self._ids(lambda v: v not in excluded)
         return _Plan(version, new, old, has_old, free_at)
 
     def _ids(
@@ -169,10 +174,6 @@
         )
 
 
-def _start(target: fleet.VersionedTarget) -> tuple[int, str]:
-    return target.started_at_ms, target.target_id
-
-
 class VersionFilter:
     """Chooses the targets that each request of an entry may use.
 
--- a/packages/core/tests/test_rollout_versions.py
+++ b/packages/core/tests/test_rollout_versions.py
@@ -228,6 +228,48 @@
         found.set_rollout('s', _rollout(), 0.0)
         assert set(_shares(found, 0.0, 50)) == {(NONE, 'v1')}
 
+    @pytest.mark.parametrize(
+        ('first', 'then', 'rollout', 'versions'),
+        [
+            # Equal start times; the delay goes by no id.
+            ([], [('v1', {}), ('v2', {})], None, 'all'),
+            # The others drain, at the start and later.
+            (
+                [],
+                [('v1', {'usable': False}), ('v3', {'started_at_ms': 9})],
+                *(None, 'all'),
+            ),
+            (
+                [('v1', {})],
+                [('v1', {'usable': False}), ('v3', {})],
+                *(None, 'all'),
+            ),
+            # The order excludes one of the others, and one drains.
+            (
+                [],
+                [
+                    ('v1', {'usable': False}),
+                    ('v2', {}),
+                    ('v3', {'started_at_ms': 9}),
+                ],
+                *(_rollout(Stage.ROLLED_BACK), 'v1+v3'),
+            ),
+        ],
+    )
+    def test_delay_leaves_a_usable_target(
+        self, first, then, rollout, versions
+    ):
+        # Guards against requests refused for 1.5 s although a target of a
+        # version that nothing excludes could take them.
+        found = rollouts.VersionFilter()
+        for listed in filter(None, (first, then)):
+            targets = [
+                t for v, fields in listed for t in _targets(v, **fields)
+            ]
+            found.set_targets('s', targets, 0.0)
+        found.set_rollout('s', rollout, 0.0)
+        assert {key[1] for key in _shares(found, 0.0, 50)} == {versions}
+
 
 class TestSubset:
     @pytest.mark.parametrize(
