--- a/packages/core/src/dragonflyslip_core/rollouts/advice.py
+++ b/packages/core/src/dragonflyslip_core/rollouts/advice.py
@@ -79,13 +79,13 @@
         """Return the fraction of requests that may go to the version."""
         stage = rollout.stage
         if stage.is_final:
-            return stage.share
+            return rollout.share
         if rollout.withdrawn or self.is_held(now):
             return 0.0
         if stage is stages.Stage.LAST:
-            return stage.share
+            return rollout.share
         if rollout.is_over(now):
             return 0.0
         if now - self._advised_at > ADVICE_TIMEOUT_S:
             return 0.0
-        return stage.share
+        return rollout.share
--- a/packages/core/src/dragonflyslip_core/rollouts/decider.py
+++ b/packages/core/src/dragonflyslip_core/rollouts/decider.py
@@ -193,11 +193,18 @@
     Times are monotonic seconds.
 
     :param name: name of this entry.
+    :param exposure_share: share of all requests that a bad version may get.
     :ivar evidence: the merged reports.
     """
 
-    def __init__(self, name: str, order: orders.RolloutOrder):
+    def __init__(
+        self,
+        name: str,
+        order: orders.RolloutOrder,
+        exposure_share: float = stages.PLANNED_EXPOSURE_SHARE,
+    ):
         self.name = name
+        self.exposure_share = exposure_share
         self.evidence = evidence_types.EvidenceTable(order.position)
         self._loads = load.LoadHistory(order.duration_s)
         self._verdict = judging.NO_EVIDENCE
@@ -311,6 +318,7 @@
             self.name,
             rollout.elapsed_s(now),
             replaced,
+            stages.share_within(proposal.stage, self.exposure_share),
         )
 
     def _observe(self, rollout: rollout_types.Rollout, now: float) -> None:
--- a/packages/core/src/dragonflyslip_core/rollouts/decisions.py
+++ b/packages/core/src/dragonflyslip_core/rollouts/decisions.py
@@ -81,6 +81,7 @@
     :param replaced: position of the order before this one, None if the
         decider knew of none. It tells a new order from a repeated record
         of an old one after a change of era.
+    :param share_limit: largest share of a partial stage.
     """
 
     order: orders.RolloutOrder
@@ -92,10 +93,13 @@
     decider: str
     since_order_s: float
     replaced: feeds.Position | None = None
+    share_limit: float = 1.0
 
     @property
     def share(self) -> float:
         """The fraction of the requests that goes to the version."""
+        if self.stage.is_partial:
+            return min(self.stage.share, self.share_limit)
         return self.stage.share
 
     @property
--- a/packages/core/src/dragonflyslip_core/rollouts/fleet.py
+++ b/packages/core/src/dragonflyslip_core/rollouts/fleet.py
@@ -131,7 +131,7 @@
         if t.version == rollout.order.version and t.usable and t.warm
     }
     old_slots = sum(t.slots for t in old_targets(rollout, targets) if t.usable)
-    wanted = rollout.stage.share * old_slots
+    wanted = rollout.share * old_slots
     chosen: list[str] = []
     slots = 0
     key = f'{rollout.order.service}/{rollout.order.version}'
--- a/packages/core/src/dragonflyslip_core/rollouts/rollout.py
+++ b/packages/core/src/dragonflyslip_core/rollouts/rollout.py
@@ -34,6 +34,11 @@
             return stages.Stage.HELD
         return self.decision.stage
 
+    @property
+    def share(self) -> float:
+        """The fraction of the requests that the stage in force allows."""
+        return 0.0 if self.decision is None else self.decision.share
+
     @property
     def is_running(self) -> bool:
         """Whether further decisions follow."""
--- a/packages/core/src/dragonflyslip_core/rollouts/stages.py
+++ b/packages/core/src/dragonflyslip_core/rollouts/stages.py
@@ -8,6 +8,8 @@
 import dataclasses
 import enum
 
+# The plan keeps the requests to a bad version below this share of all.
+PLANNED_EXPOSURE_SHARE = 0.1
 # A decision is in force everywhere after about 0.6 s; a shorter stage would
 # begin at some entries only.
 MIN_STAGE_S = 0.6
@@ -65,6 +67,19 @@
 }
 
 
+def share_within(stage: Stage, exposure_share: float) -> float:
+    """Return the share of a stage under a setting.
+
+    The shares of partial stages shrink in proportion to a setting below that
+    of the plan. A larger one leaves them as they are.
+
+    :param exposure_share: share of all requests that a bad version may get.
+    """
+    if not stage.is_partial:
+        return stage.share
+    return stage.share * min(1.0, exposure_share / PLANNED_EXPOSURE_SHARE)
+
+
 @dataclasses.dataclass(frozen=True)
 class Step:
     """Plan of a stage, as fractions of the duration.
--- a/packages/core/tests/test_rollout_decider.py
+++ b/packages/core/tests/test_rollout_decider.py
@@ -6,6 +6,8 @@
 
 from dragonflyslip_core import feeds
 from dragonflyslip_core import rollouts
+from dragonflyslip_core.rollouts import advice
+from dragonflyslip_core.rollouts import stages
 
 DURATION_S = 12.0
 ORDER = rollouts.RolloutOrder('s', 'v2', DURATION_S, feeds.Position(0, 7))
@@ -66,6 +68,34 @@
 BAD = {'new': (30, 5), 'control': (300, 0)}
 
 
+class TestShares:
+    @pytest.mark.parametrize('setting', [0.0, 0.01, 0.05, 0.1, 0.5, 1.0])
+    def test_plan_stays_below_the_setting(self, setting):
+        # Guards against more requests to a bad version than the setting
+        # allows, and against larger shares than those of the plan.
+        planned, begins = 0.0, 0.0
+        for stage in (Stage.SHARE_8, Stage.SHARE_25, Stage.SHARE_50):
+            ends = stages.STEPS[stage].ends
+            share = stages.share_within(stage, setting)
+            planned += (ends - begins) * share
+            begins = ends
+            assert share <= stage.share
+            assert setting < 0.1 or share == stage.share
+        assert planned <= setting and planned >= 0.9 * min(setting, 0.1)
+        assert stages.share_within(Stage.LAST, setting) == 1.0
+
+    def test_decision_holds_the_share_that_entries_use(self):
+        # Guards against entries that use the share of the plan instead.
+        rollout = _rollout()
+        decider = rollouts.Decider('g0', ORDER, 0.05)
+        decision = decider.next_decision(rollout, FLEET, 0, 0.0)
+        assert (decision.stage, decision.share) == (Stage.SHARE_8, 0.04)
+        advised = advice.AdvisedShare(ORDER.position)
+        advised.record(rollouts.Advice('g0', ORDER.position, False, 0), 0.0)
+        rollout = dataclasses.replace(rollout, decision=decision)
+        assert advised.share(rollout, 0.5) == 0.04
+
+
 class TestDecider:
     @pytest.mark.parametrize(
         ('stage', 'entered_s', 'now', 'fleet', 'report', 'decided'),
--- a/packages/entry/src/dragonflyslip_entry/gateway/daemon.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/daemon.py
@@ -84,6 +84,7 @@
             adapter,
             # Later processes of this name have a higher number.
             int(time.time() * 1000),
+            options.exposure_share,
         )
         self.metrics.add_collector(
             rollout_metrics.RolloutCollector(self.rollouts)
--- a/packages/entry/src/dragonflyslip_entry/gateway/rollouts/controller.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/rollouts/controller.py
@@ -36,6 +36,7 @@
     :param decision_feed: name of the feed that holds the decisions.
     :param incarnation: number of this process, higher than that of its
         predecessor of the same name.
+    :param exposure_share: share of the requests that a bad version may get.
     :ivar feed: this gateway's copy of that feed.
     :ivar known: the newest rollout of each service.
     :ivar running: the rollouts that run, by service.
@@ -51,6 +52,7 @@
         versions: selection.VersionSelection,
         encoder: statuses.StatusEncoder,
         incarnation: int,
+        exposure_share: float,
     ):
         self.board = board
         self.log = log
@@ -59,6 +61,7 @@
         self.network = network
         self.versions = versions
         self.incarnation = incarnation
+        self.exposure_share = exposure_share
         self.loop = asyncio.get_running_loop()
         self.orders = rollouts.OrderTable()
         self.decisions = rollouts.DecisionTable()
@@ -214,7 +217,11 @@
             or running.rollout.order.position != rollout.order.position
         ):
             running = running_types.RunningRollout(
-                self.board.name, self.incarnation, rollout, now
+                self.board.name,
+                self.incarnation,
+                rollout,
+                now,
+                self.exposure_share,
             )
             self.running[service] = running
             self.counted[service] = running
--- a/packages/entry/src/dragonflyslip_entry/gateway/rollouts/decision_records.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/rollouts/decision_records.py
@@ -52,7 +52,7 @@
     """Value of a decision's record; see :class:`rollouts.Decision`.
 
     :param order: position of the order.
-    :param share: that of the stage, for readers of the record.
+    :param share: largest share that the stage gives to the version.
     """
 
     order: PositionRecord
@@ -60,7 +60,7 @@
     duration_s: _Seconds
     number: typing.Annotated[int, msgspec.Meta(ge=1, le=2**53)]
     stage: rollouts.Stage
-    share: float
+    share: typing.Annotated[float, msgspec.Meta(ge=0.0, le=1.0)]
     superseded: typing.Annotated[
         tuple[_Text, ...], msgspec.Meta(max_length=64)
     ]
@@ -138,4 +138,5 @@
         replaced=(
             None if record.replaced is None else record.replaced.to_position()
         ),
+        share_limit=record.share,
     )
--- a/packages/entry/src/dragonflyslip_entry/gateway/rollouts/running.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/rollouts/running.py
@@ -24,6 +24,7 @@
     :param name: name of this gateway.
     :param incarnation: number of its process, higher than that of its
         predecessor.
+    :param exposure_share: share of the requests that a bad version may get.
     :ivar rollout: what is known of the rollout.
     :ivar counts: what this gateway counts itself.
     :ivar decider: evidence and decisions as a candidate.
@@ -37,13 +38,14 @@
         incarnation: int,
         rollout: rollouts.Rollout,
         now: float,
+        exposure_share: float,
     ):
         self.rollout = rollout
         self.started_at = now
         self.counts = response_counts.ResponseCounts(
             rollouts.ReportCounter(name, incarnation, rollout.order.position)
         )
-        self.decider = rollouts.Decider(name, rollout.order)
+        self.decider = rollouts.Decider(name, rollout.order, exposure_share)
         self.appending: asyncio.Task[None] | None = None
         self.retry_at = float('-inf')
         self.reported_at = float('-inf')
--- a/tests/adapter/rollout_parts.py
+++ b/tests/adapter/rollout_parts.py
@@ -117,9 +117,12 @@
             await asyncio.sleep(0.005)
 
 
-async def start(platform, gateways: int = 4, zones: str = 'abc', **new):
+async def start(
+    platform, gateways: int = 4, zones: str = 'abc', settings=None, **new
+):
     """Start gateways in several domains, four old targets and four new ones.
 
+    :param settings: settings of the gateways by name.
     :param new: fields of the new targets.
     :return: the gateways, the old targets and the new ones.
     """
@@ -127,7 +130,8 @@
     old = await add_targets(platform, OLD, 4, slots=8)
     started = [
         await platform.add_gateway(
-            failure_domain=f'zone-{zones[number % len(zones)]}'
+            failure_domain=f'zone-{zones[number % len(zones)]}',
+            **(settings or {}),
         )
         for number in range(gateways)
     ]
--- a/tests/adapter/test_rollouts.py
+++ b/tests/adapter/test_rollouts.py
@@ -30,6 +30,23 @@
         numbers = [item['number'] for item in parts.decisions(platform)]
         assert numbers == list(range(1, len(numbers) + 1))
 
+    async def test_share_follows_the_setting(self, platform):
+        # Guards against a setting that does not reach the decider, and a
+        # share that the other gateways do not read from its decision.
+        gateways, _, _ = await parts.start(
+            platform, settings={'exposure_share': 0.05}
+        )
+        await parts.order(platform, duration='20s')
+        found = [gateway.rollouts.known for gateway in gateways]
+        await parts.until(
+            lambda: all(
+                parts.SERVICE in known and known[parts.SERVICE].share == 0.04
+                for known in found
+            ),
+            5.0,
+        )
+        assert parts.decisions(platform)[-1]['share'] == 0.04
+
     async def test_bad_version_is_rolled_back(self, platform):
         # Guards against more requests to a bad version than operators accept.
         gateways, old, new = await parts.start(platform, fails_every=3)
