Silence subscribers by the module that holds them

The test of a gateway cut off over a change of era was written before the subscribers got a module of their own, and failed after the merge.

--- a/tests/adapter/test_eras.py
+++ b/tests/adapter/test_eras.py
@@ -233,7 +233,7 @@
 
 def _set_silent(gateway, silent: bool) -> None:
     """Stop or allow all messages of a gateway to its subscribers."""
-    for link in gateway.feeds.relay.subscribers:
+    for link in gateway.feeds.relay.subscribers.links:
         if silent:
             link.send = lambda frame: None
         else:
