Refuse statuses of targets outside 100 to 599

A target whose status was 600 or 999 was answered with that status: the caller of a route whose requests run at most once got it with the target's receipt, as an answer. Such a head is malformed now, so the caller gets 502, which promises nothing, and idempotent requests are repeated. Statuses 000 and 099 led to 502 before as well.

--- a/packages/entry/src/dragonflyslip_entry/http_connection.py
+++ b/packages/entry/src/dragonflyslip_entry/http_connection.py
@@ -40,6 +40,8 @@
     client_exceptions.ClientPayloadError,
     http.HttpProcessingError,
 )
+_MIN_STATUS = 100
+_MAX_STATUS = 599
 _CONTINUE = 100
 _SWITCHING_PROTOCOLS = 101
 _CONTROL_CHARACTERS = re.compile(r'[\x00-\x08\x0a-\x1f\x7f]')
@@ -250,6 +252,11 @@
         """
         while True:
             message, content = await self.protocol.read()
+            if not _MIN_STATUS <= message.code <= _MAX_STATUS:
+                # A caller might take it for a success.
+                raise errors.MalformedHeadError(
+                    f'status {message.code} is none of HTTP'
+                )
             if (
                 message.code == _CONTINUE
                 and self._continue_received is not None
