Judge the newest responses of a rollout also by themselves

Overlapping windows of 50 to 100 responses of the version are judged as well; the n-th has a threshold n (n + 1) times as high, so all together may cause as many false alarms as the counts since the order.

--- a/packages/core/src/dragonflyslip_core/rollouts/decider.py
+++ b/packages/core/src/dragonflyslip_core/rollouts/decider.py
@@ -11,11 +11,12 @@
 from dragonflyslip_core.rollouts import evidence as evidence_types
 from dragonflyslip_core.rollouts import fleet as fleet_types
 from dragonflyslip_core.rollouts import judging
-from dragonflyslip_core.rollouts import load
+from dragonflyslip_core.rollouts import load as load_types
 from dragonflyslip_core.rollouts import orders
 from dragonflyslip_core.rollouts import reports
 from dragonflyslip_core.rollouts import rollout as rollout_types
 from dragonflyslip_core.rollouts import stages
+from dragonflyslip_core.rollouts import windows
 
 # A verdict is computed at most once in this time, whatever the number of
 # reports.
@@ -193,13 +194,15 @@
     Times are monotonic seconds.
 
     :param name: name of this entry.
+    :param order: the order; a later one needs another decider.
     :ivar evidence: the merged reports.
     """
 
     def __init__(self, name: str, order: orders.RolloutOrder):
         self.name = name
         self.evidence = evidence_types.EvidenceTable(order.position)
-        self._loads = load.LoadHistory(order.duration_s)
+        self._loads = load_types.LoadHistory(order.duration_s)
+        self._window = windows.EvidenceWindow()
         self._verdict = judging.NO_EVIDENCE
         self._judged_at = float('-inf')
         self._first_share_s: float | None = None
@@ -229,11 +232,23 @@
         is_due = now - self._judged_at >= JUDGE_INTERVAL_S
         if is_due and not self._verdict.bad:
             self._judged_at = now
-            self._verdict = judging.judge(
-                self.evidence.totals, self._last_stage_load(rollout, now)
-            )
+            self._verdict = self._judge(rollout, now)
         return self._verdict
 
+    def _judge(
+        self, rollout: rollout_types.Rollout, now: float
+    ) -> judging.Verdict:
+        totals = self.evidence.totals
+        load = self._last_stage_load(rollout, now)
+        verdict = judging.judge(totals, load)
+        if not rollout.stage.is_partial:
+            return verdict
+        recent = self._window.counts(totals)
+        if recent is None:
+            return verdict
+        number = self._window.number
+        return judging.combine(verdict, judging.judge(recent, window=number))
+
     def next_decision(
         self,
         rollout: rollout_types.Rollout,
--- a/packages/core/src/dragonflyslip_core/rollouts/judging.py
+++ b/packages/core/src/dragonflyslip_core/rollouts/judging.py
@@ -20,8 +20,8 @@
 from dragonflyslip_core.rollouts import decisions
 from dragonflyslip_core.rollouts import strata as strata_types
 
-# Probability that a good version is ever judged bad by chance. Half of it is
-# left for the last stage, where the bound holds only while conditions last.
+# Probability that a good version is ever judged bad by chance, from all counts
+# of a rollout, and once more from its windows. The bounds are far from tight.
 FALSE_ALARM = 0.0005
 # Multiples of the odds that are tried. Above 32, even few bad responses would
 # condemn a version that has had few requests.
@@ -87,20 +87,27 @@
 
 
 def judge(
-    totals: cell_types.Cells, last_stage_load: float | None = None
+    totals: cell_types.Cells,
+    last_stage_load: float | None = None,
+    window: int = 0,
 ) -> Verdict:
     """Judge a version.
 
-    :param totals: counts of all entries since the order.
+    :param totals: counts of all entries.
     :param last_stage_load: requests a second around the last stage, divided
         by the usual number; None if unknown or before that stage. Without it,
         slow responses of the last stage do not count.
+    :param window: number of the window that the counts are from, 0 if they
+        are from the whole rollout.
     """
+    # The sum of 1 / (n (n + 1)) is 1: all windows of a rollout together may
+    # cause as many false alarms as the counts since the order.
+    false_alarm = FALSE_ALARM / max(1, window * (window + 1))
     strata = strata_types.stratify(totals)
     tests = [
         test
         for kind in strata_types.Kind
-        for test in _tests(kind, strata[kind], last_stage_load)
+        for test in _tests(kind, strata[kind], last_stage_load, false_alarm)
     ]
     strongest = max(tests, key=lambda test: test.likelihood)
     bad = next((test for test in tests if test.is_bad), None)
@@ -128,6 +135,19 @@
     )
 
 
+def combine(overall: Verdict, recent: Verdict) -> Verdict:
+    """Return the verdict from the whole rollout and its newest window."""
+    shown = recent if recent.bad and not overall.bad else overall
+    suspect = overall.suspect or recent.suspect
+    return dataclasses.replace(
+        shown,
+        enough=overall.enough and not suspect,
+        suspect=suspect,
+        probably_bad=overall.probably_bad or recent.probably_bad,
+        responses=overall.responses,
+    )
+
+
 @dataclasses.dataclass(frozen=True)
 class _Test:
     """Result for one kind on one route, or on all (``route`` is '').
@@ -158,6 +178,7 @@
     kind: strata_types.Kind,
     strata: list[strata_types.Stratum],
     last_stage_load: float | None,
+    false_alarm: float,
 ) -> list[_Test]:
     """Test all routes together and each route.
 
@@ -165,7 +186,7 @@
     routes, and the other half is divided among the routes.
     """
     routes = sorted({stratum.route for stratum in strata})
-    threshold = 2 * len(strata_types.Kind) / FALSE_ALARM
+    threshold = 2 * len(strata_types.Kind) / false_alarm
     tests = [_test(kind, '', strata, threshold, last_stage_load)]
     if len(routes) < 2:
         return tests
--- a/packages/core/tests/test_rollouts.py
+++ b/packages/core/tests/test_rollouts.py
@@ -97,6 +97,20 @@
             assert outcome.stage is rollouts.Stage.ROLLED_BACK
             assert outcome.late_s <= ROLLBACK_S
 
+    def test_fault_that_begins_late_in_a_long_rollout(self):
+        # Guards against a fault that the good responses before it dilute.
+        scenario, seeds = _bad(
+            100.0,
+            seeds=range(2),
+            duration_s=150.0,
+            slower=4.0,
+            slow=0.2,
+            since_s=50.0,
+        )
+        for outcome in _run('slow after 50 s of 150 s', scenario, seeds):
+            assert outcome.stage is rollouts.Stage.ROLLED_BACK
+            assert len(outcome.bad_at) < scenarios.BAD_RESPONSES
+
     @pytest.mark.parametrize('gateways', [3, 4])
     def test_gateway_that_is_cut_off_keeps_the_sum(self, gateways):
         # Guards against a gateway that is cut off from all candidates, and
@@ -134,7 +148,7 @@
         machines=((1, GREY), (5, SLOW), (11, SLOW))
     ),
     'failing old version': _good(old_version=GREY),
-    # The usual load is a quarter of the slots.
+    # The usual load is a third of the slots.
     'burst while the share is small': _good(**SMALL, burst=(2.0, 4.0, 7.0)),
     'burst at half of the traffic': _good(**SMALL, burst=(6.0, 7.5, 7.0)),
     # Some gateways are in the last stage, others still compare versions.
