--- a/packages/core/src/dragonflyslip_core/rollouts/judging.py
+++ b/packages/core/src/dragonflyslip_core/rollouts/judging.py
@@ -23,8 +23,8 @@
 # Probability that a good version is ever judged bad by chance, from all counts
 # of a rollout, and once more from its windows. The bounds are far from tight.
 FALSE_ALARM = 0.0005
-# Multiples of the odds that are tried. Above 32, even few bad responses would
-# condemn a version that has had few requests.
+# Multiples of the odds that are tried. With more than 32, a version that has
+# had few requests would be judged bad for two or three bad responses.
 ODDS_MULTIPLES = (2.0, 4.0, 8.0, 16.0, 32.0)
 # Required without the worst targets. A good version with one bad machine gets
 # here by chance with a probability of at most 1 in 100.
@@ -42,7 +42,7 @@
 MIN_FAILURE_EXCESS_LAST = 0.05
 # If the requests beyond the usual load are slow, they are a third of the
 # responses only if there are half as many again as usual. So the two bounds
-# together exclude that a burst in the last stage condemns a version.
+# together exclude that a version is judged bad for a burst in the last stage.
 MIN_BURST_EXCESS = 1 / 3
 MAX_LOAD_LAST = 1.5
 # Responses of the version that show a fault of a fifth with a probability of
@@ -208,8 +208,8 @@
     used = strata
     if last and not _counts_in_last_stage(kind, last, last_stage_load):
         # Until the stage is in force everywhere, the new targets are loaded
-        # more than the old ones. In a burst, their slow responses condemned 6
-        # of 20 good versions, so no slow responses count then.
+        # more than the old ones. In a burst, 6 of 20 good versions were judged
+        # bad for this, so no slow responses count then.
         is_slow = kind is strata_types.Kind.SLOW
         used = [s for s in strata if not s.is_last and not is_slow]
         last = []
--- a/packages/core/tests/test_rollout_evidence.py
+++ b/packages/core/tests/test_rollout_evidence.py
@@ -204,7 +204,7 @@
         ],
     )
     def test_failures_of_few_machines(self, targets, bad):
-        # Guards against a version that is condemned for a bad machine.
+        # Guards against a version that is rolled back for a bad machine.
         totals = _totals((120, 0, 0), (1500, 0, 0), 4)
         for key, counts in _totals((0, 20, 0), (0, 0, 0), targets).items():
             totals[key].add(counts)
@@ -224,16 +224,16 @@
         ],
     )
     def test_last_stage_is_compared_with_earlier_control(self, new, load, bad):
-        # Guards against a burst in the last stage, which has no control, that
-        # condemns a good version.
+        # Guards against a good version that is judged bad for a burst in the
+        # last stage, which has no control.
         totals = _totals(new, (1500, 0, 0), 12, LAST)
         assert rollouts.judge(totals, load).bad is bad
 
     @pytest.mark.parametrize('excess', [0.0, 0.2])
     def test_false_alarms_and_needed_responses(self, excess):
-        # Guards against thresholds that repeated looks wear down: of 150 good
-        # versions none is judged bad in 1,000 responses, and each that has a
-        # fifth of bad responses is before 50 of them.
+        # Guards against false alarms of repeated looks: of 150 good versions
+        # none is judged bad in 1,000 responses, and each that has a fifth of
+        # bad responses is before 50 of them.
         rng = random.Random(3)
         for _ in range(150):
             totals, bad = {}, 0
