Add the command rollout status

Operators could see the state of a rollout only in the raw records of the store and in the logs of the gateways.

A store that cannot be read gives exit code 2.

--- a/packages/entry/src/dragonflyslip_entry/gateway/adapters.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/adapters.py
@@ -243,12 +243,14 @@
         and targets.
     :ivar entries_feed: feed in which the gateways register themselves and
         record the requests that were in flight at crashes of targets.
+    :ivar order_feed: feed of the orders of rollouts, one of ``feeds``.
     :ivar status_feed: feed of the status of rollouts.
     """
 
     dialect: Dialect
     feeds: tuple[str, ...]
     entries_feed: str
+    order_feed: str
     status_feed: str
 
     def encode_status(
@@ -256,6 +258,14 @@
     ) -> tuple[str, bytes]:
         """Return the key and the value of the record of a status."""
 
+    def decode_status(
+        self, key: str, value: bytes
+    ) -> result.Result[rollouts.RolloutStatus | None, core_errors.CoreError]:
+        """Return the status that a record of ``status_feed`` holds.
+
+        :return: None if the record is about something else.
+        """
+
     def open_log(self, store_url: str) -> RecordLog:
         """Return the platform's logs without reading anything yet."""
 
--- a/packages/operator/src/dragonflyslip_operator/errors.py
+++ b/packages/operator/src/dragonflyslip_operator/errors.py
@@ -9,7 +9,8 @@
 EXIT_CODES: dict[int, str] = {
     0: 'done; a change was read back from the log as accepted',
     1: 'nothing changed: a service or an entry failed, or no such item',
-    2: 'nothing changed: usage, a setting or the change is invalid',
+    2: 'nothing changed: usage, a setting or the change is invalid, or the '
+    'store cannot be read',
     3: 'nothing changed: another change of the item was accepted first',
     4: 'the change is not in force on every listed entry within the timeout',
     5: 'uncertain: the change may or may not have been accepted',
@@ -38,6 +39,12 @@
     """The log, the instance list, an entry or a file is not accessible."""
 
 
+class StoreError(OperatorError):
+    """The store of the platform cannot be read."""
+
+    exit_code = 2
+
+
 class RaceLostError(OperatorError):
     """Another change of the same item was accepted first.
 
--- a/packages/operator/src/dragonflyslip_operator/parsing.py
+++ b/packages/operator/src/dragonflyslip_operator/parsing.py
@@ -14,6 +14,7 @@
 
 REQUIRES_LOG = frozenset({'log_url'})
 REQUIRES_INSTANCES = frozenset({'instances_url'})
+REQUIRES_STORE = frozenset({'adapter', 'store_url'})
 _REQUIRES_AUTHOR = frozenset({'author'})
 
 
--- a/packages/operator/src/dragonflyslip_operator/settings.py
+++ b/packages/operator/src/dragonflyslip_operator/settings.py
@@ -19,6 +19,8 @@
 
     :param log_url: base address of the log service.
     :param instances_url: base address of the instance list.
+    :param adapter: Python module that connects to the platform.
+    :param store_url: address of the platform's store.
     :param author: who publishes, as recorded with each change.
     :param admin_port_offset: added to an entry's listed port to get its
         admin port.
@@ -29,6 +31,8 @@
 
     log_url: str = ''
     instances_url: str = ''
+    adapter: str = ''
+    store_url: str = ''
     author: str = ''
     admin_port_offset: int = 1000
     timeout_s: float = 10.0
@@ -45,6 +49,12 @@
     return text
 
 
+def _parse_module(text: str) -> str:
+    if not all(part.isidentifier() for part in text.split('.')):
+        raise ValueError(text)
+    return text
+
+
 def _parse_author(text: str) -> str:
     if not text.strip() or not text.isprintable():
         raise ValueError(text)
@@ -112,6 +122,18 @@
 SETTINGS = (
     Setting('log_url', 'address of the log service', _URL, _parse_url),
     Setting('instances_url', 'address of the instance list', _URL, _parse_url),
+    Setting(
+        'adapter',
+        'Python module that connects to the platform',
+        'the name of a module such as dragonflyslip_adapter',
+        _parse_module,
+    ),
+    Setting(
+        'store_url',
+        "address of the platform's store",
+        _URL,
+        _parse_url,
+    ),
     Setting(
         'author',
         'who publishes; recorded with each change',
--- a/packages/operator/tests/test_settings.py
+++ b/packages/operator/tests/test_settings.py
@@ -15,6 +15,8 @@
 INVALID_VALUES = {
     'log_url': ['', '10.0.0.5', 'ftp://a', 'http://', 'http://a:x'],
     'instances_url': ['http://a:99999', 'http://a?b', 'http://a:0'],
+    'adapter': ['', 'a-b', 'a..b', '/a'],
+    'store_url': ['', '10.0.0.5', 'http://a:0'],
     'author': ['', ' ', 'a\nb', 'x' * 201],
     'admin_port_offset': ['', '0', '-1', '65535', '1.5', 'x'],
     'timeout_s': ['', '0', 'nan', 'inf', '601', 'x'],
