Fuzz the decoder of rollout statuses

The command rollout status decodes the status records of the store, and the fuzz test covered only those that gateways read.

--- a/tests/fuzz_parsers.py
+++ b/tests/fuzz_parsers.py
@@ -233,6 +233,10 @@
         ),
         (b'{"service":"casebook","target_version":"v2","duration":"12s"}',),
     ),
+    'rollout status': Parser(
+        lambda data: records.decode_rollout_status('casebook', data),
+        (b'{"state":"running","target_version":"v2"}',),
+    ),
     'gateway': Parser(
         entry_records.decode,
         (b'{"incarnation":1,"failure_domain":"z","endpoint":"127.0.0.1:9"}',),
