--- a/tests/adapter/rollout_parts.py
+++ b/tests/adapter/rollout_parts.py
@@ -19,6 +19,7 @@
     """A target of a version, some of whose responses are failures.
 
     :param fails_every: one of so many requests fails; 0 for none.
+    :ivar hangs_on: path of the requests that get no response.
     """
 
     def __init__(
@@ -27,6 +28,7 @@
         super().__init__(service, **model)
         self.version = version
         self.fails_every = fails_every
+        self.hangs_on = ''
 
     def next_registration(self, state: str = 'ready') -> dict:
         """Return the target's next registration record."""
@@ -37,6 +39,8 @@
     async def _execute(self, request, body, streams, fault):
         if self.fails_every and len(self.runs) % self.fails_every == 0:
             fault = faults.Fault.ERROR
+        if request.path == self.hangs_on:
+            fault = faults.Fault.HANG
         return await super()._execute(request, body, streams, fault)
 
 
--- a/tests/adapter/test_rollout_failures.py
+++ b/tests/adapter/test_rollout_failures.py
@@ -7,6 +7,7 @@
 from dragonflyslip_core import errors
 from dragonflyslip_core import rollouts
 from dragonflyslip_emulator import store as store_types
+from dragonflyslip_entry.gateway import renewals
 from dragonflyslip_entry.gateway.rollouts import controller
 from tests.adapter import rollout_parts as parts
 
@@ -204,6 +205,34 @@
             await parts.until(lambda: parts.state(platform) == 'succeeded')
         assert len(set(_numbers(platform))) == len(_numbers(platform))
 
+    async def test_candidate_writes_a_lost_decision_again(self, platform):
+        # Guards against a gateway that starts after the store came back from
+        # an older copy, and does not learn of a decision in force.
+        gateways, _, _ = await parts.start(platform)
+        saved = platform.store.save()
+        await parts.order(platform, duration='60s')
+        await parts.until(lambda: parts.state(platform) == 'running')
+        await parts.until(
+            lambda: all(
+                g.rollouts.known[parts.SERVICE].decision for g in gateways
+            )
+        )
+        (written,) = parts.decisions(platform)
+        await platform.store.restore(saved)
+        assert parts.decisions(platform) == []
+        await parts.order(platform, duration='60s')
+        await parts.until(lambda: parts.decisions(platform), 5.0)
+        await parts.until(lambda: parts.state(platform) == 'running', 5.0)
+        # All candidates have had their turn.
+        await asyncio.sleep(renewals.SPREAD_S + 0.5)
+        assert parts.decisions(platform) == [written]
+        started = await platform.add_gateway()
+        known = started.rollouts.known[parts.SERVICE]
+        assert (
+            known.decision
+            == gateways[0].rollouts.known[parts.SERVICE].decision
+        )
+
 
 class TestOrders:
     async def test_order_without_a_decision_moves_nothing(
