--- a/packages/entry/src/dragonflyslip_entry/gateway/adapters.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/adapters.py
@@ -258,6 +258,7 @@
         and targets.
     :ivar entries_feed: feed in which the gateways register themselves and
         record the requests that were in flight at crashes of targets.
+    :ivar order_feed: feed of the orders of rollouts, one of ``feeds``.
     :ivar status_feed: feed of the status of rollouts.
     :ivar manifest_feed: the one of ``feeds`` that holds the manifests.
     """
@@ -266,6 +267,7 @@
     feeds: tuple[str, ...]
     manifest_feed: str
     entries_feed: str
+    order_feed: str
     status_feed: str
 
     def encode_status(
@@ -273,6 +275,14 @@
     ) -> tuple[str, bytes]:
         """Return the key and the value of the record of a status."""
 
+    def decode_status(
+        self, key: str, value: bytes
+    ) -> result.Result[rollouts.RolloutStatus | None, core_errors.CoreError]:
+        """Return the status that a record of ``status_feed`` holds.
+
+        :return: None if the record is about something else.
+        """
+
     def open_log(self, store_url: str) -> RecordLog:
         """Return the platform's logs without reading anything yet."""
 
