Refuse requests over the quota of their account at the gateway

The quota of an account is checked right after authentication: 429 with the text quota-exceeded and a Retry-After, before a target is asked. A controller keeps leases and tokens over the links between gateways, and a request waits 50 ms at most for a token. Accounts without a rate are told apart by two attributes. A request that no target may have run returns its token; the token names its account, since the key may have been removed when the request ends. Retries and hedges take none. Refused requests no longer add to the repeat budget.

One log line a second at most names the limited accounts; counters have series for the 20 largest and other.

--- a/packages/core/src/dragonflyslip_core/quotas/limiter.py
+++ b/packages/core/src/dragonflyslip_core/quotas/limiter.py
@@ -25,9 +25,12 @@
 class Admitted:
     """The request may run.
 
+    :param account: the account that pays; the key of the request may belong
+        to another one when it ends.
     :param lot: where its token came from.
     """
 
+    account: str
     lot: holdings.Lot
 
 
@@ -96,7 +99,7 @@
             held.record_request(now)
         lot = held.take(now)
         if lot is not None:
-            return Admitted(lot)
+            return Admitted(account.name, lot)
         if now < held.retry_at:
             return self._limited(held.token_at - now)
         shard = shards.shard_of(account.name)
@@ -126,11 +129,10 @@
         """Record that a request does not wait any more."""
         self.holdings_of(account.name, now).waiting -= 1
 
-    def put_back(
-        self, account: account_types.Account, admitted: Admitted, now: float
-    ) -> None:
+    def put_back(self, admitted: Admitted, now: float) -> None:
         """Return the token of a request that no target ran."""
-        self.holdings_of(account.name, now).put_back(admitted.lot, now)
+        held = self.holdings_of(admitted.account, now)
+        held.put_back(admitted.lot, now)
 
     def due_asks(self, now: float) -> list[OutgoingAsk]:
         """Return the asks to be sent now."""
@@ -279,7 +281,7 @@
         held.own.fill(account, self.bounds, share_s, 1 / size)
         if held.own.take(1, self.rng):
             expires_at = now + self.bounds.token_life_s
-            return Admitted(holdings.Lot(0, 0, expires_at))
+            return Admitted(account.name, holdings.Lot(0, 0, expires_at))
         return self._limited(min(held.own.wait_s(), NO_OWNER_RETRY_S))
 
     def _limited(self, left_s: float) -> Limited:
--- a/packages/core/tests/test_quotas.py
+++ b/packages/core/tests/test_quotas.py
@@ -10,6 +10,7 @@
 from dragonflyslip_core import accounts
 from dragonflyslip_core import membership
 from dragonflyslip_core import quotas
+from dragonflyslip_core.quotas import holdings
 from dragonflyslip_testing import quota_fleet
 
 
@@ -73,6 +74,35 @@
         assert 0.8 * 800 <= len(fleet.admitted['a'])
         assert fleet.most_in_window('a') <= most(account())
 
+    def test_lent_share_is_not_used_before_the_lease_ends(self):
+        # Guards against a share that two gateways use.
+        fleet = quota_fleet.QuotaFleet(4, [account()])
+        fleet.run(3.0)
+        names = list(fleet.gateways)
+        fleet.cut = {(a, b) for a in names for b in names if a != b}
+        shard = quotas.shard_of('a')
+        owner = quotas.rank_owners(shard, names)[0]
+        others = [name for name in names if name != owner]
+        load(fleet, 'a', 400, 0.6, others)
+        assert not fleet.admitted['a']
+
+
+class TestHoldings:
+    def test_expired_tokens_are_neither_used_nor_put_back(self):
+        held = holdings.AccountHoldings(10.0)
+        held.add(holdings.Lot(2, 1, 10.35), 10.1)
+        lot = held.take(10.3)
+        assert held.take(10.35) is None
+        held.put_back(lot, 10.4)
+        assert held.take(10.4) is None
+
+    def test_only_tokens_of_the_named_lease_are_returned(self):
+        held = holdings.AccountHoldings(10.0)
+        held.add(holdings.Lot(2, 1, 10.35), 10.1)
+        assert held.take_unneeded(2, 10.1) == 0
+        assert held.take_unneeded(1, 10.1) == 2
+        assert held.take(10.1) is None
+
 
 class TestOwner:
     def ask(self, owner, number, lease, now, returned=0):
--- a/packages/entry/src/dragonflyslip_entry/gateway/calls.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/calls.py
@@ -9,6 +9,7 @@
 
 from dragonflyslip_core import accounts
 from dragonflyslip_core import manifest as manifest_types
+from dragonflyslip_core import quotas
 from dragonflyslip_core import request_crashes
 from dragonflyslip_core import request_identity
 from dragonflyslip_entry import errors
@@ -49,6 +50,8 @@
         several crashes.
     :param credentials: what the caller presented as its key.
     :param key_check: result of the last look-up of the key.
+    :param quota_token: the token with which its account's quota admitted it;
+        None if the account has no limit.
     """
 
     request_id: str
@@ -73,6 +76,7 @@
     is_crash_trial: bool = False
     credentials: accounts.Credentials = accounts.NO_CREDENTIALS
     key_check: accounts.KeyCheck = accounts.OPEN
+    quota_token: quotas.Admitted | None = None
 
     @functools.cached_property
     def path_identity(self) -> str:
--- a/packages/entry/src/dragonflyslip_entry/gateway/daemon.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/daemon.py
@@ -11,6 +11,7 @@
 from aiohttp import web
 
 from dragonflyslip_core import membership
+from dragonflyslip_core import quotas as core_quotas
 from dragonflyslip_entry import caller_server
 from dragonflyslip_entry import drain
 from dragonflyslip_entry import flag_settings
@@ -24,6 +25,7 @@
 from dragonflyslip_entry.gateway import peer_network
 from dragonflyslip_entry.gateway import peer_port
 from dragonflyslip_entry.gateway import probing
+from dragonflyslip_entry.gateway import quotas
 from dragonflyslip_entry.gateway import sending
 from dragonflyslip_entry.gateway import settings as settings_types
 from dragonflyslip_entry.gateway import target_pools
@@ -104,6 +106,16 @@
             options.strict_revoke,
             options.revoke_timeout,
         )
+        self.quotas = quotas.QuotaController(
+            self.board,
+            self.network,
+            core_quotas.QuotaBounds(
+                options.quota_window,
+                options.quota_overage,
+                options.quota_slack,
+            ),
+        )
+        self.metrics.add_quotas(self.quotas.statistics)
         self.handler = handling.RequestHandler(
             self.board,
             target_selection.TargetSelector(self.board, prober),
@@ -113,6 +125,7 @@
             self.dialect,
             self.metrics,
             self.crashes,
+            self.quotas,
         )
         self.server = caller_server.CallerServer(self.handler.handle)
         self.handler.busy = self.server.busy
@@ -141,6 +154,7 @@
             *flag_settings.split_endpoint(self.options.peer_listen)
         )
         self._start(self.feeds.run())
+        self._start(self.quotas.run())
         self._start(self._run_maintenance())
         await self.stopping.wait()
         logs.info('gateway drains', in_flight=self.handler.in_flight)
--- a/packages/entry/src/dragonflyslip_entry/gateway/handling.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/handling.py
@@ -20,6 +20,7 @@
 from dragonflyslip_entry.gateway import error_responses
 from dragonflyslip_entry.gateway import metrics
 from dragonflyslip_entry.gateway import probing
+from dragonflyslip_entry.gateway import quotas
 from dragonflyslip_entry.gateway import repeating
 from dragonflyslip_entry.gateway import request_matching
 from dragonflyslip_entry.gateway import responses
@@ -51,9 +52,11 @@
         dialect: adapters.Dialect,
         gateway_metrics: metrics.GatewayMetrics,
         crashes: crash_reports.CrashReporter,
+        quota_controller: quotas.QuotaController,
     ):
         self.board = board
         self.crashes = crashes
+        self.quotas = quota_controller
         self.target_selector = target_selector
         self.sender = sender
         self.repeater = repeating.Repeater(board, target_selector, sender)
@@ -135,7 +138,14 @@
         try:
             async with asyncio.timeout_at(call.deadline_at) as timeout:
                 self.unfinished[call] = timeout
-                answer = await self._serve(request, call)
+                answer = await self.quotas.limit(call)
+                if answer is None:
+                    self.board.repeat_budget_of(
+                        call.service.name
+                    ).record_request()
+                    answer = await self._serve(request, call)
+                else:
+                    call.reason = answer.reason
         except TimeoutError:
             answer = self._timeout_response(call)
             if call.streaming:
@@ -155,6 +165,7 @@
                 answer = self._fault_response(call, error)
         finally:
             self.unfinished.pop(call, None)
+            self.quotas.finish(call)
         return await self._answer(request, call, answer)
 
     def _timeout_response(
--- a/packages/entry/src/dragonflyslip_entry/gateway/metrics.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/metrics.py
@@ -4,6 +4,7 @@
 from prometheus_client import core as metrics_core
 
 from dragonflyslip_entry.gateway import board as board_types
+from dragonflyslip_entry.gateway.quotas import statistics as quota_statistics
 from dragonflyslip_entry import logs
 
 _BUCKETS_S = (0.01, 0.03, 0.1, 0.2, 0.3, 0.4, 0.5, 0.7, 1, 1.5, 2, 3, 5, 10)
@@ -33,6 +34,10 @@
             registry=self.registry,
         )
 
+    def add_quotas(self, statistics: quota_statistics.QuotaStatistics) -> None:
+        """Export the counters of client accounts with a limit."""
+        self.registry.register(_QuotaCollector(statistics))
+
     def request_ended(self, service: str, status: int, seconds: float) -> None:
         """Count a request that was answered or whose caller disconnected.
 
@@ -73,3 +78,23 @@
             yield metrics_core.GaugeMetricFamily(
                 prefix + name, name.replace('_', ' '), value=value
             )
+
+
+class _QuotaCollector:
+    def __init__(self, statistics: quota_statistics.QuotaStatistics):
+        self.statistics = statistics
+
+    def collect(self):
+        """Yield the requests of the accounts with the most of them."""
+        for name, totals in (
+            ('admitted', self.statistics.admitted_totals),
+            ('limited', self.statistics.limited_totals),
+        ):
+            family = metrics_core.CounterMetricFamily(
+                f'dragonflyslip_gateway_account_requests_{name}',
+                f'Requests of client accounts with a limit: {name}',
+                labels=['account'],
+            )
+            for account, count in self.statistics.largest(totals):
+                family.add_metric([account], count)
+            yield family
--- a/packages/entry/src/dragonflyslip_entry/gateway/request_matching.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/request_matching.py
@@ -76,7 +76,6 @@
         waited_before_s = self.board.route_load_of(
             service.name, route.kind
         ).waited_before_s(caller_timeout_s)
-        self.board.repeat_budget_of(service.name).record_request()
         forwarded = calls.end_to_end_headers(
             request.headers, self.dialect.end_to_end_headers
         )
