--- a/packages/wire/src/dragonflyslip_wire/messages.py
+++ b/packages/wire/src/dragonflyslip_wire/messages.py
@@ -10,10 +10,12 @@
 
 from dragonflyslip_core import feeds
 from dragonflyslip_core import membership
+from dragonflyslip_core import quotas
 from dragonflyslip_core import suspects
 from dragonflyslip_core import target_facts
 from dragonflyslip_wire import errors
 from dragonflyslip_wire import fields
+from dragonflyslip_wire import quota_codec
 from dragonflyslip_wire import rollout_messages
 
 PROTOCOL_VERSION = 1
@@ -231,6 +233,8 @@
     | FeedPush
     | rollout_messages.RolloutReport
     | rollout_messages.RolloutAdvice
+    | quotas.QuotaAsk
+    | quotas.QuotaGrant
 )
 
 
@@ -710,6 +714,18 @@
         rollout_messages.write_advice,
         rollout_messages.read_advice,
     ),
+    _Codec(
+        quotas.QuotaAsk,
+        'quotaAsk',
+        quota_codec.write_ask,
+        quota_codec.read_ask,
+    ),
+    _Codec(
+        quotas.QuotaGrant,
+        'quotaGrant',
+        quota_codec.write_grant,
+        quota_codec.read_grant,
+    ),
 )
 _CODECS_BY_TYPE = {codec.type: codec for codec in _CODECS}
 _CODECS_BY_MEMBER = {codec.member: codec for codec in _CODECS}
