--- a/packages/entry/src/dragonflyslip_entry/gateway/settings.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/settings.py
@@ -185,14 +185,18 @@
     revoke_timeout: typing.Annotated[
         Duration,
         msgspec.Meta(
-            description='time until requests with a removed key are refused',
+            description=(
+                'age of the copy of the manifest from which on keys are '
+                'not confirmed'
+            ),
         ),
     ] = 5.0
     strict_revoke: typing.Annotated[
         bool,
         msgspec.Meta(
             description=(
-                'whether a gateway that cannot confirm a key refuses it'
+                'whether keys of client accounts are refused while this '
+                'gateway cannot confirm them'
             ),
         ),
     ] = False
