--- a/tests/adapter/conftest.py
+++ b/tests/adapter/conftest.py
@@ -50,6 +50,7 @@
         self.tasks: dict[daemon.Gateway, asyncio.Task[None]] = {}
         self.session: aiohttp.ClientSession | None = None
         self.version = 0
+        self.limits: dict[str, int | str] = {'max_body_bytes': 1_000_000}
         self.ids = itertools.count(1)
 
     async def add_target(
@@ -84,7 +85,7 @@
                     }
                     for name in sorted(names)
                 ],
-                'limits': {'max_body_bytes': 1_000_000},
+                'limits': self.limits,
             },
         )
 
