Hold callers of a gateway to limits and a budget

Memory and descriptors of a gateway grew with what callers sent: only the announced length of a body was limited. Each connection is now held to the manifest's limits (bytes and time of a head, bytes of a body announced or in chunks, idle time) and to a minimum rate for bodies. Refusals count by reason, with at most one summary line a second.

Processor time and latency of an ordinary request were not measured.

--- a/packages/entry/src/dragonflyslip_entry/caller_server.py
+++ b/packages/entry/src/dragonflyslip_entry/caller_server.py
@@ -1,6 +1,7 @@
 """The HTTP server that accepts calls."""
 
 import asyncio
+import collections.abc
 import contextlib
 import dataclasses
 import math
@@ -43,6 +44,8 @@
     """HTTP server that can close its idle connections only.
 
     :param handler: coroutine function that answers a request.
+    :param make_protocol: makes the protocol of a new connection from the
+        server and the options of the base class.
     :ivar busy: protocols of the connections that carry a request now.
     :ivar closing: whether each connection closes after the response to the
         last request that has arrived on it.
@@ -53,8 +56,15 @@
         handed to the operating system.
     """
 
-    def __init__(self, handler: typing.Any):
+    def __init__(
+        self,
+        handler: typing.Any,
+        make_protocol: collections.abc.Callable[
+            ..., caller_protocol.CallerProtocol
+        ] = caller_protocol.CallerProtocol,
+    ):
         super().__init__(self._handle, handler_cancellation=True)
+        self.make_protocol = make_protocol
         self.handler = handler
         self.busy: set[typing.Any] = set()
         self.closing = False
@@ -70,9 +80,7 @@
         }
 
     def __call__(self) -> web.RequestHandler:
-        return caller_protocol.CallerProtocol(
-            self, loop=self._loop, **self.options
-        )
+        return self.make_protocol(self, loop=self._loop, **self.options)
 
     def connection_made(
         self, handler: web.RequestHandler, transport: asyncio.Transport
--- a/packages/entry/src/dragonflyslip_entry/errors.py
+++ b/packages/entry/src/dragonflyslip_entry/errors.py
@@ -38,6 +38,10 @@
     """The caller's request body ended early or made no progress."""
 
 
+class OversizedBodyError(CallerBodyError):
+    """The caller's request body exceeds the limit."""
+
+
 class TargetError(EntryError):
     """A target did not return a complete response.
 
--- /dev/null
+++ b/packages/entry/src/dragonflyslip_entry/gateway/caller_limits/__init__.py
@@ -0,0 +1,1 @@
+"""Enforces the limits for callers on their connections."""
--- a/packages/entry/src/dragonflyslip_entry/gateway/calls.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/calls.py
@@ -12,11 +12,15 @@
 from dragonflyslip_core import request_identity
 from dragonflyslip_core import rollouts
 from dragonflyslip_entry import errors
+from dragonflyslip_entry.gateway.caller_limits import limiter as limiter_types
 from dragonflyslip_entry import headers
 
 # Request bodies up to this size are kept in memory, so that a request which a
 # target refused can be sent to another one.
 MAX_KEPT_BODY_BYTES = 524_288
+# Bytes of a body that wait in the process before it stops reading, twice the
+# read buffer of the connection.
+MAX_UNREAD_BYTES = 131_072
 # A gateway that stops passes a request on only if this many target latencies
 # are left until it ends its requests. Nearly every request ends within them,
 # and a refused caller can go to another gateway at once.
@@ -154,8 +158,14 @@
     again to another target.
     """
 
-    def __init__(self, request: web.BaseRequest):
+    def __init__(
+        self, request: web.BaseRequest, limiter: limiter_types.CallerLimiter
+    ):
         self.request = request
+        self.limiter = limiter
+        self.received_bytes = 0
+        self.taken_bytes = 0
+        self.streamed = False
         self.kept: list[bytes] | None = []
         self.kept_bytes = 0
         self.head = b''
@@ -173,6 +183,22 @@
             self.complete or len(self.head) >= request_identity.BODY_HEAD_BYTES
         )
 
+    def begin(self) -> bool:
+        """Take memory for the unread part; return whether there is some."""
+        size_bytes = MAX_UNREAD_BYTES
+        if self.request.content_length is not None:
+            size_bytes = min(size_bytes, self.request.content_length)
+        if not self.limiter.take_body(size_bytes):
+            return False
+        self.taken_bytes = size_bytes
+        return True
+
+    def end(self) -> None:
+        """Give the memory back, once the request has ended."""
+        self.limiter.bodies.give_back(self.taken_bytes)
+        self.taken_bytes = 0
+        self.kept = None
+
     async def read_head(self) -> None:
         """Read the bytes that identify the body, before it is streamed.
 
@@ -184,9 +210,11 @@
     async def stream(self):
         """Yield the body from its start.
 
+        :raises OversizedBodyError: if it exceeds the limit in force.
         :raises CallerBodyError: if the body does not parse, or the caller
             closes the connection early.
         """
+        self.streamed = True
         for chunk in tuple(self.kept or ()):
             yield chunk
         while chunk := await self._read():
@@ -202,6 +230,9 @@
             raise errors.CallerBodyError(
                 f'request body ended early: {error!r}'
             ) from error
+        self.received_bytes += len(chunk)
+        if self.received_bytes > self.limiter.limits.max_body_bytes:
+            raise errors.OversizedBodyError('the request body is too large')
         # Known at the last bytes already, so that they identify a short body.
         self.complete = not chunk or self.request.content.at_eof()
         self._keep(chunk)
@@ -211,7 +242,20 @@
         missing = request_identity.BODY_HEAD_BYTES - len(self.head)
         self.head += chunk[:missing]
         self.kept_bytes += len(chunk)
-        if self.kept_bytes > MAX_KEPT_BODY_BYTES:
+        if self.kept_bytes > MAX_KEPT_BODY_BYTES or not self._may_keep(chunk):
             self.kept = None
         if self.kept is not None and chunk:
             self.kept.append(chunk)
+
+    def _may_keep(self, chunk: bytes) -> bool:
+        """Take memory for a chunk; return whether there is some.
+
+        Before the body is streamed its bytes must be kept. These fit into
+        what was taken for the unread part.
+        """
+        if self.kept is None or not self.streamed:
+            return True
+        if not self.limiter.bodies.take(len(chunk)):
+            return False
+        self.taken_bytes += len(chunk)
+        return True
--- a/packages/entry/src/dragonflyslip_entry/gateway/daemon.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/daemon.py
@@ -15,6 +15,7 @@
 from dragonflyslip_entry import flag_settings
 from dragonflyslip_entry.gateway import adapters
 from dragonflyslip_entry.gateway import board as board_types
+from dragonflyslip_entry.gateway.caller_limits import limiter
 from dragonflyslip_entry.gateway import crash_reports
 from dragonflyslip_entry.gateway import feeds
 from dragonflyslip_entry.gateway import handling
@@ -113,6 +114,11 @@
                 wire.Hello: self.network,
             },
         )
+        self.limiter = limiter.CallerLimiter(
+            self.board,
+            limiter.budget_from_settings(options),
+            self.loop.time,
+        )
         self.handler = handling.RequestHandler(
             self.board,
             target_selection.TargetSelector(self.board, prober),
@@ -120,8 +126,11 @@
             self.dialect,
             self.metrics,
             self.crashes,
+            self.limiter,
+        )
+        self.server = caller_server.CallerServer(
+            self.handler.handle, self.limiter.make_protocol
         )
-        self.server = caller_server.CallerServer(self.handler.handle)
         self.handler.busy = self.server.busy
         self.stopping = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
@@ -210,6 +219,7 @@
         self.pools.close_idle(self.loop.time())
         self.peer_port.update(self.loop.time())
         self.network.update(self.loop.time())
+        self.limiter.check(self.loop.time())
         logs.flush_summary(self.loop.time())
 
     async def _start_http_server(
--- a/packages/entry/src/dragonflyslip_entry/gateway/handling.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/handling.py
@@ -16,6 +16,7 @@
 from dragonflyslip_entry import errors
 from dragonflyslip_entry.gateway import adapters
 from dragonflyslip_entry.gateway import board as board_types
+from dragonflyslip_entry.gateway.caller_limits import limiter as limiter_types
 from dragonflyslip_entry.gateway import calls
 from dragonflyslip_entry.gateway import crash_reports
 from dragonflyslip_entry.gateway import error_responses
@@ -33,6 +34,8 @@
 MAX_UNWRITTEN_SENDS = 4
 # Lines about single requests that the process logs when it cuts them.
 MAX_CUT_LINES = 50
+# Reasons of error responses to callers that may still send a long body.
+_CLOSING_REASONS = ('body-too-large', 'body-memory')
 _CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 
 
@@ -52,8 +55,10 @@
         dialect: adapters.Dialect,
         gateway_metrics: metrics.GatewayMetrics,
         crashes: crash_reports.CrashReporter,
+        limiter: limiter_types.CallerLimiter,
     ):
         self.board = board
+        self.limiter = limiter
         self.crashes = crashes
         self.target_selector = target_selector
         self.sender = sender
@@ -126,6 +131,9 @@
                 manifest=self._manifest_version(),
             )
             response = self.responder.error(request, call)
+            if call.status in (413, 431):
+                self.limiter.count(call.reason.replace('-', '_'))
+                response.force_close()
             if _expects_continue(request):
                 # Whether its body follows or another request is unknown.
                 response.force_close()
@@ -148,7 +156,7 @@
                 self._log_result(call, 'response aborted', None)
                 raise
             if isinstance(error, errors.CallerBodyError):
-                answer = self._body_error_response(call)
+                answer = self._body_error_response(call, error)
             else:
                 answer = self._fault_response(call, error)
         finally:
@@ -167,8 +175,14 @@
         return error_responses.STOPPING
 
     def _body_error_response(
-        self, call: calls.Call
+        self, call: calls.Call, error: errors.CallerBodyError
     ) -> error_responses.ErrorResponse:
+        if isinstance(error, errors.OversizedBodyError):
+            call.reason = 'body-too-large'
+            self.limiter.count('body_too_large')
+            return error_responses.ErrorResponse(
+                502 if call.may_have_run else 413, call.reason
+            )
         call.reason = 'malformed-body'
         # Targets that got a part of the body may have begun to run it.
         return error_responses.ErrorResponse(
@@ -195,11 +209,25 @@
     async def _serve(
         self, request: web.BaseRequest, call: calls.Call
     ) -> sending.Answered | error_responses.ErrorResponse | web.StreamResponse:
-        body = None
-        if call.has_body:
-            body = calls.RequestBody(request)
+        if not call.has_body:
+            return await self._send(request, call, None)
+        body = calls.RequestBody(request, self.limiter)
+        if not body.begin():
+            call.reason = 'body-memory'
+            return self._final_error(call)
+        try:
             if _expects_continue(request):
                 request.transport.write(_CONTINUE)
+            return await self._send(request, call, body)
+        finally:
+            body.end()
+
+    async def _send(
+        self,
+        request: web.BaseRequest,
+        call: calls.Call,
+        body: calls.RequestBody | None,
+    ) -> sending.Answered | error_responses.ErrorResponse | web.StreamResponse:
         excluded: set[str] = set()
         unwritten = 0
         while True:
@@ -334,7 +362,10 @@
             answer = self.responder.correct_status(call, answer)
         if isinstance(answer, error_responses.ErrorResponse):
             self._log_result(call, 'request failed', answer.status)
-            return self.responder.error(request, answer)
+            response = self.responder.error(request, answer)
+            if answer.reason in _CLOSING_REASONS:
+                response.force_close()
+            return response
         if isinstance(answer, sending.Answered):
             response = self.responder.relayed(request, answer)
         else:
--- a/packages/entry/src/dragonflyslip_entry/gateway/request_matching.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/request_matching.py
@@ -50,6 +50,8 @@
             return error_responses.ErrorResponse(404, 'no-route')
         if not calls.has_time_to_end(route, now, stop_at):
             return error_responses.STOPPING
+        if _head_bytes(request) > manifest.limits.max_header_bytes:
+            return error_responses.ErrorResponse(431, 'head-too-large')
         limit = manifest.limits.max_body_bytes
         if (request.content_length or 0) > limit:
             return error_responses.ErrorResponse(413, 'body-too-large')
@@ -88,3 +90,12 @@
             - route.priority,
             version=manifest.version,
         )
+
+
+def _head_bytes(request: web.BaseRequest) -> int:
+    """Return the length of a head without optional white space."""
+    # Two spaces, the version and the line end; the end of the head.
+    size = len(request.method) + len(request.raw_path) + 14
+    return size + sum(
+        len(name) + len(value) + 3 for name, value in request.raw_headers
+    )
