--- a/packages/entry/src/dragonflyslip_entry/gateway/daemon.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/daemon.py
@@ -18,6 +18,7 @@
 from dragonflyslip_entry.gateway import adapters
 from dragonflyslip_entry.gateway import authenticating
 from dragonflyslip_entry.gateway import board as board_types
+from dragonflyslip_entry.gateway.caller_limits import limiter
 from dragonflyslip_entry.gateway import crash_reports
 from dragonflyslip_entry.gateway import feeds
 from dragonflyslip_entry.gateway import handling
@@ -138,6 +139,11 @@
         self.metrics.add_collector(
             metrics.QuotaCollector(self.quotas.statistics)
         )
+        self.limiter = limiter.CallerLimiter(
+            self.board,
+            limiter.budget_from_settings(options),
+            self.loop.time,
+        )
         self.handler = handling.RequestHandler(
             self.board,
             target_selection.TargetSelector(self.board, prober),
@@ -152,8 +158,11 @@
             self.metrics,
             self.crashes,
             self.quotas,
+            self.limiter,
+        )
+        self.server = caller_server.CallerServer(
+            self.handler.handle, self.limiter.make_protocol
         )
-        self.server = caller_server.CallerServer(self.handler.handle)
         self.handler.busy = self.server.busy
         self.stopping = asyncio.Event()
         self.signals = stop_signals.StopSignals(self.loop, self.stopping.set)
@@ -258,6 +267,7 @@
         self.pools.close_idle(self.loop.time())
         self.peer_port.update(self.loop.time())
         self.network.update(self.loop.time())
+        self.limiter.check(self.loop.time())
         logs.flush_summary(self.loop.time())
 
     async def _start_http_server(
--- a/tests/adapter/conftest.py
+++ b/tests/adapter/conftest.py
@@ -52,6 +52,7 @@
         self.version = 0
         # Client accounts of the manifest, None for a manifest without any.
         self.tenants: list[dict] | None = None
+        self.limits: dict[str, int | str] = {'max_body_bytes': 1_000_000}
         self.ids = itertools.count(1)
 
     async def add_target(
@@ -86,7 +87,7 @@
                     }
                     for name in sorted(names)
                 ],
-                'limits': {'max_body_bytes': 1_000_000},
+                'limits': self.limits,
                 **({} if self.tenants is None else {'tenants': self.tenants}),
             },
         )
