Divide accounts into four shards, and wait longer for a grant

Gateways with a small part of a processor answer after tens of milliseconds while busy, so many waits of 50 ms ended without a grant.

--- a/packages/core/src/dragonflyslip_core/quotas/shards.py
+++ b/packages/core/src/dragonflyslip_core/quotas/shards.py
@@ -6,7 +6,9 @@
 
 from dragonflyslip_core.accounts import account as account_types
 
-SHARD_COUNT = 16
+# Few shards keep the renewals of leases few: one ask of each gateway for each
+# shard, three times a second.
+SHARD_COUNT = 4
 # Gateways that may own a shard; further ones are not asked.
 OWNER_RANKS = 4
 
--- a/packages/testing/src/dragonflyslip_testing/quota_fleet.py
+++ b/packages/testing/src/dragonflyslip_testing/quota_fleet.py
@@ -11,7 +11,7 @@
 from dragonflyslip_core import quotas
 
 TICK_S = 0.05
-MAX_WAIT_S = 0.05
+MAX_WAIT_S = 0.2
 LATENCY_S = 0.001
 
 
