--- a/packages/core/src/dragonflyslip_core/quotas/holdings.py
+++ b/packages/core/src/dragonflyslip_core/quotas/holdings.py
@@ -11,8 +11,7 @@
 # Tokens are asked for ahead of need, for this much time of the demand.
 PREFETCH_S = 0.25
 # Below this demand, tokens are asked for when a request has arrived. Tokens
-# that expire are lost: with 8 gateways and an account at 95 % of a rate of 40,
-# 393 of 1,900 requests were refused with a bound of 1, and 5 with 20.
+# that expire are lost, so asking ahead for few requests wastes the quota.
 MIN_PREFETCH_DEMAND_PER_S = 20.0
 # A reply that takes longer is not waited for; its tokens are asked for again.
 REPLY_S = 0.1
--- a/packages/entry/src/dragonflyslip_entry/gateway/quotas/controller.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/quotas/controller.py
@@ -15,8 +15,8 @@
 from dragonflyslip_entry.gateway.quotas import statistics
 
 TICK_S = 0.05
-# Longest time that a request waits for a grant. A gateway with a small part of
-# a processor takes tens of milliseconds to reply while it is busy.
+# Longest time that a request waits for a grant. A wait costs its caller less
+# than a rejection below the quota.
 MAX_WAIT_S = 0.2
 # Idle accounts are dropped this often.
 DROP_PERIOD_S = 5.0
