Close connections of callers in two steps

Callers saw: in a planned stop, clients that send requests ahead got a part of a response and then the end of the connection. The target had answered in full. Cause: the connection closed as soon as its last response was with the kernel. The next request of the client was on its way, reached a closed socket, and the reset dropped what the kernel had not sent. The idle timeout, refused heads and unused connections in a stop closed in the same way. Change: LingeringTransport sends the end of the stream, then reads and discards until the caller closes, bounded in time and bytes by core's Linger. All that closes a connection of a caller goes through it. The idle time begins anew while a caller takes its response. Connections in the second step are closed first when there are too many.

--- a/packages/core/src/dragonflyslip_core/caller_limits/__init__.py
+++ b/packages/core/src/dragonflyslip_core/caller_limits/__init__.py
@@ -7,6 +7,8 @@
 from dragonflyslip_core.caller_limits.closing import ConnectionUse
 from dragonflyslip_core.caller_limits.closing import Fault
 from dragonflyslip_core.caller_limits.closing import find_fault
+from dragonflyslip_core.caller_limits.lingering import Linger
+from dragonflyslip_core.caller_limits.lingering import LingerEnd
 
 __all__ = [
     'CallerBudget',
@@ -15,5 +17,7 @@
     'ConnectionUse',
     'Fault',
     'find_fault',
+    'Linger',
+    'LingerEnd',
     'MemoryBudget',
 ]
--- a/packages/core/src/dragonflyslip_core/caller_limits/closing.py
+++ b/packages/core/src/dragonflyslip_core/caller_limits/closing.py
@@ -38,6 +38,7 @@
         began; None without a body.
     :param body_bytes: bytes of that body that arrived in the window.
     :param body_at: when a part of that body arrived last.
+    :param closing_since: when the end of the stream was sent; None before.
     """
 
     idle_since: float | None = None
@@ -45,6 +46,7 @@
     body_since: float | None = None
     body_bytes: int = 0
     body_at: float = 0.0
+    closing_since: float | None = None
 
     def begin_body(self, now: float) -> None:
         """Begin a window in which the progress of a body is measured."""
@@ -64,6 +66,8 @@
 
     Begins the next window of a body whose window has ended.
     """
+    if use.closing_since is not None:
+        return None
     if use.head_since is not None:
         if now - use.head_since > limits.header_timeout_s:
             return Fault.SLOW_HEAD
@@ -82,8 +86,9 @@
 ) -> ConnectionUse | None:
     """Return the connection that is closed first to make room for another.
 
-    Idle ones come first, the longest idle before others, then those whose
-    head has been arriving longest, then the body that has stalled longest.
+    Those that are closing come first, then idle ones, the longest idle before
+    others, then those whose head has been arriving longest, then the body that
+    has stalled longest.
     One whose request makes progress or has arrived is not closed.
     """
     ranks = ((_rank(use, now), use) for use in uses)
@@ -106,6 +111,8 @@
 
 
 def _rank(use: ConnectionUse, now: float) -> tuple[int, float] | None:
+    if use.closing_since is not None:
+        return -1, use.closing_since
     if use.head_since is not None:
         return 1, use.head_since
     if use.idle_since is not None:
--- a/packages/entry/src/dragonflyslip_entry/caller_protocol.py
+++ b/packages/entry/src/dragonflyslip_entry/caller_protocol.py
@@ -7,8 +7,10 @@
 from aiohttp import streams
 from aiohttp import web
 
+from dragonflyslip_core import caller_limits
 from dragonflyslip_core import outcomes
 from dragonflyslip_entry import errors
+from dragonflyslip_entry import lingering_close
 from dragonflyslip_entry import logs
 from dragonflyslip_entry import problems
 
@@ -37,6 +39,7 @@
     caller that none of them will be processed (section 9.6). So during a stop
     only a response behind which no request has arrived does.
 
+    :ivar connection: the transport, also after :meth:`force_close`.
     :ivar received_at: when the last part was received of a request that has
         no handler yet, on the event loop's clock; None if there is none.
     :ivar opened_at: when the connection was opened; None from its first
@@ -69,6 +72,7 @@
             auto_decompress=False,
             max_msg_queue_size=1,
         )
+        self.connection: lingering_close.LingeringTransport | None = None
         self.received_at: float | None = None
         self.opened_at: float | None = asyncio.get_running_loop().time()
         self.body: streams.StreamReader | None = None
@@ -87,8 +91,8 @@
     def answering(self) -> bool:
         """Whether a response is being written, or its caller still uploads.
 
-        Closing a connection on which bytes arrive resets it. The caller may
-        then lose a response that it has not read.
+        The rest of an upload may be longer than what is discarded once the
+        end of the stream has been sent, so it is read before.
         """
         return self.response is not None or (
             self.body is not None and not self.body.is_eof()
@@ -116,8 +120,30 @@
             or self._request_count > self.begun_count
         )
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Begin; whatever closes the connection closes it in two steps."""
+        self.connection = lingering_close.LingeringTransport(
+            typing.cast(asyncio.Transport, transport), self
+        )
+        super().connection_made(self.connection)
+
+    @property
+    def stopping(self) -> bool:
+        """Whether the server closes all its connections."""
+        return self.server.closing
+
+    def linger_began(self, now: float) -> None:
+        """Drop the request that was arriving; its caller gets no answer."""
+        self.received_at = None
+
+    def linger_ended(self, reason: caller_limits.LingerEnd) -> None:
+        """Record that the caller did not close the connection in time."""
+
     def data_received(self, data: bytes) -> None:
         """Receive a part of a request."""
+        if self.connection.is_closing():
+            self.connection.discard(len(data))
+            return
         if self.malformed:
             return
         in_body = self.body is not None and not self.body.is_eof()
@@ -228,23 +254,10 @@
             if declined_upgrade:
                 # The base class has parsed one request of those behind it.
                 self.data_received(b'')
-            if malformed:
-                await self._discard_rest()
             return finished
         finally:
             self.response = None
 
-    async def _discard_rest(self) -> None:
-        """Discard what arrives until the caller closes, or for a short time.
-
-        Closing a connection on which bytes arrive resets it. The caller may
-        then lose a response that it has not read.
-        """
-        if self.transport is not None:
-            self.transport.write_eof()
-            # Ends with the connection, which cancels it.
-            await asyncio.sleep(PART_TIMEOUT_S)
-
     def log_exception(self, *args: typing.Any, **kw: typing.Any) -> None:
         """Log an unexpected exception, of which the text is left out."""
         error = kw.get('exc_info')
--- a/packages/entry/src/dragonflyslip_entry/caller_server.py
+++ b/packages/entry/src/dragonflyslip_entry/caller_server.py
@@ -12,6 +12,7 @@
 import yarl
 
 from dragonflyslip_entry import caller_protocol
+from dragonflyslip_entry import lingering_close
 from dragonflyslip_entry import logs
 
 # A longer request line or header gets 400 and the connection is closed.
@@ -69,7 +70,9 @@
         self.busy: set[typing.Any] = set()
         self.closing = False
         self.opened = 0
-        self.transports: dict[web.RequestHandler, asyncio.Transport] = {}
+        self.transports: dict[
+            web.RequestHandler, lingering_close.LingeringTransport
+        ] = {}
         self.all_closed = asyncio.Event()
         self.all_closed.set()
         self.options = {
@@ -83,7 +86,9 @@
         return self.make_protocol(self, loop=self._loop, **self.options)
 
     def connection_made(
-        self, handler: web.RequestHandler, transport: asyncio.Transport
+        self,
+        handler: web.RequestHandler,
+        transport: lingering_close.LingeringTransport,
     ) -> None:
         """Add a connection."""
         super().connection_made(handler, transport)
@@ -101,7 +106,22 @@
             self.all_closed.set()
 
     def log_unsent_data(self) -> None:
-        """Log the responses that will not be sent if the process ends now."""
+        """Log what is lost if the process ends now.
+
+        The kernel goes on to send what it has, but resets a connection on
+        which further bytes arrive.
+        """
+        left = [
+            transport.unacknowledged_bytes()
+            for transport in self.transports.values()
+            if transport.linger is not None
+        ]
+        if left:
+            logs.info(
+                'closing connections cut',
+                connections=len(left),
+                unacknowledged_bytes=sum(left),
+            )
         unsent = self.unsent_data()
         if unsent.connections:
             logs.info(
@@ -217,6 +237,8 @@
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(FLUSH_TIMEOUT_S):
                 await self.all_closed.wait()
+        for transport in list(self.transports.values()):
+            transport.abort()
 
     def _make_request(
         self, message: http.RawRequestMessage, *options: typing.Any
--- a/packages/entry/src/dragonflyslip_entry/gateway/caller_limits/limiter.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/caller_limits/limiter.py
@@ -115,6 +115,9 @@
             fault = caller_limits.find_fault(use, limits, now)
             if fault is caller_limits.Fault.SLOW_HEAD:
                 checked.refuse(408, 'slow_head')
+            elif fault is caller_limits.Fault.IDLE:
+                if checked.close_idle(now):
+                    self.count(fault.value)
             elif fault is not None:
                 self._close(checked, fault.value)
         self._log_summary(now)
@@ -124,6 +127,10 @@
         self.board.count(f'caller_limit_{reason}')
         self._uncounted[reason] += 1
 
+    def count_linger_end(self, reason: caller_limits.LingerEnd) -> None:
+        """Count a connection that its caller did not close in time."""
+        self.board.count(f'caller_close_{reason.value}')
+
     def _close(self, closed: protocol.LimitedProtocol, reason: str) -> None:
         self.count(reason)
         self.remove(closed)
--- a/packages/entry/src/dragonflyslip_entry/gateway/caller_limits/protocol.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/caller_limits/protocol.py
@@ -1,16 +1,13 @@
 """A connection of a caller that is held to limits."""
 
 import http
+import math
 import typing
 
 from dragonflyslip_core import caller_limits
 from dragonflyslip_core import manifest as manifest_types
 from dragonflyslip_entry import caller_protocol
 
-# A refused connection stays open for this time, so that its caller can read
-# the response: closing while bytes arrive resets the connection.
-REFUSED_OPEN_S = 0.5
-
 
 class Limiter(typing.Protocol):
     """What a connection needs of the limiter of its gateway."""
@@ -33,6 +30,9 @@
     def count(self, reason: str) -> None:
         """Count a refusal or closing."""
 
+    def count_linger_end(self, reason: caller_limits.LingerEnd) -> None:
+        """Count a connection that its caller did not close in time."""
+
 
 class LimitedProtocol(caller_protocol.CallerProtocol):
     """Counts what arrives, and refuses what exceeds the limits.
@@ -51,6 +51,8 @@
         self.use = caller_limits.ConnectionUse(idle_since=limiter.clock())
         self.head_bytes = 0
         self.refused = False
+        # Of the last response, when the idle time was last exceeded.
+        self._unacknowledged_bytes = math.inf
 
     def connection_made(self, transport: typing.Any) -> None:
         """Begin."""
@@ -63,8 +65,21 @@
         self._end_head()
         super().connection_lost(exc)
 
+    def linger_began(self, now: float) -> None:
+        """Give back what an incomplete head holds."""
+        super().linger_began(now)
+        self._end_head()
+        self.use.closing_since = now
+
+    def linger_ended(self, reason: caller_limits.LingerEnd) -> None:
+        """Count the connection."""
+        self.limiter.count_linger_end(reason)
+
     def data_received(self, data: bytes) -> None:
         """Receive a part of a request."""
+        if self.connection.is_closing():
+            super().data_received(data)
+            return
         if self.refused:
             return
         parsed_count = self._request_count
@@ -107,16 +122,27 @@
                 f'HTTP/1.1 {status} {phrase}\r\nConnection: close\r\n'
                 'Content-Length: 0\r\n\r\n'.encode()
             )
-            self.transport.write_eof()
-            self._loop.call_later(REFUSED_OPEN_S, self.force_close)
+            self.force_close()
+
+    def close_idle(self, now: float) -> bool:
+        """Close the connection unless its caller takes its last response.
+
+        :return: whether the connection closes.
+        """
+        left_bytes = self.connection.unacknowledged_bytes()
+        if 0 < left_bytes < self._unacknowledged_bytes:
+            self._unacknowledged_bytes = left_bytes
+            self.use.idle_since = now
+            return False
+        self.force_close()
+        return True
 
     def end(self) -> None:
-        """Close the connection; a request on it is cancelled."""
+        """Break the connection off; a request on it is cancelled."""
         self.refused = True
         self.received_at = None
         self._end_head()
-        if self.transport is not None:
-            self.transport.abort()
+        self.connection.abort()
 
     async def _handle_request(
         self, request: typing.Any, *options: typing.Any
@@ -126,6 +152,7 @@
         finally:
             if not self._messages:
                 self.use.idle_since = self.limiter.clock()
+                self._unacknowledged_bytes = math.inf
 
     def _receive_head(self, data: bytes, now: float) -> None:
         self.head_bytes += len(data)
--- a/packages/testing/src/dragonflyslip_testing/slow_caller.py
+++ b/packages/testing/src/dragonflyslip_testing/slow_caller.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections.abc
+import math
 import socket
 
 _RECEIVE_BUFFER_BYTES = 4_096
@@ -50,13 +51,24 @@
             sent = start + _SEGMENT_BYTES
             await self._sleep_until(started_at + sent / bytes_per_s)
 
+    async def send(self, data: bytes) -> None:
+        """Send bytes, such as further requests."""
+        await self.loop.sock_sendall(self.socket, data)
+
     async def read_response(self, bytes_per_s: float) -> bytes:
         """Return all bytes that arrive until the connection closes."""
+        return await self.read_part(math.inf, bytes_per_s)
+
+    async def read_part(self, size: float, bytes_per_s: float) -> bytes:
+        """Return at least this many bytes, fewer if the connection closes."""
         received = bytearray()
         started_at = None
-        while data := await self.loop.sock_recv(
-            self.socket, _RECEIVE_BUFFER_BYTES
-        ):
+        while len(received) < size:
+            data = await self.loop.sock_recv(
+                self.socket, _RECEIVE_BUFFER_BYTES
+            )
+            if not data:
+                break
             if started_at is None:
                 started_at = self.loop.time()
             received += data
--- a/tests/adapter/test_stop.py
+++ b/tests/adapter/test_stop.py
@@ -212,6 +212,65 @@
         assert lines[-1]['message'] == 'gateway has stopped'
 
 
+class TestRequestsBehindTheLastResponse:
+    """Callers that send requests before they have their response."""
+
+    @pytest.mark.parametrize('ahead', [1, 20])
+    @pytest.mark.parametrize('received', [0.1, 0.5, 0.8])
+    @pytest.mark.parametrize('size', [50_000, 90_000, 250_000])
+    async def test_whole_response_arrives(
+        self, deployment, size, received, ahead
+    ):
+        # Guards against a connection that is reset by a request which arrives
+        # after its last response was handed to the kernel: the caller then
+        # loses what it has not received of that response.
+        await deployment.start(casebook=size)
+        target = deployment.targets['casebook']
+        target.work_s = 0.2
+        caller = await deployment.send('casebook')
+        deployment.stop()
+        response = await caller.read_part(received * size, size / READ_S)
+        assert b'Connection: close' in response
+        runs = len(target.runs)
+        await caller.send(ahead * _request('behind'))
+        response += await caller.read_response(size / READ_S)
+        assert response.partition(b'\r\n\r\n')[2] == target.body
+        assert len(target.runs) == runs
+
+    async def test_response_that_announces_no_close_arrives(self, deployment):
+        # Guards against the same loss when a connection is closed as unused,
+        # although its caller has not received the last response.
+        await deployment.start(casebook=100_000)
+        target = deployment.targets['casebook']
+        target.work_s = 0.2
+        caller = await deployment.send('casebook')
+        response = await caller.read_part(1_000, math.inf)
+        deployment.stop()
+        await asyncio.sleep(LATE_S)
+        await caller.send(_request('behind'))
+        response += await caller.read_response(100_000 / READ_S)
+        assert response.partition(b'\r\n\r\n')[2] == target.body
+
+    async def test_caller_that_does_not_close_does_not_delay_the_end(
+        self, deployment
+    ):
+        # Guards against a stop that lasts until the stop timeout because of
+        # callers that leave their side of a connection open.
+        await deployment.start(casebook=10)
+        callers_open = [await deployment.connect() for _ in range(5)]
+        for caller in callers_open:
+            caller.send(_request('first'))
+            assert (await caller.receive()).status == 200
+            caller.writer.transport.pause_reading()
+        deployment.stop()
+        async with asyncio.timeout(STOP_TIMEOUT_S):
+            lines = await deployment.log_lines()
+        assert deployment.process.returncode == 0
+        assert 'closing connections cut' not in [
+            line['message'] for line in lines
+        ]
+
+
 class TestRequestsAtTheClose:
     async def test_request_on_a_connection_to_be_accepted_is_answered(
         self, deployment
@@ -224,7 +283,7 @@
         async with deployment.pause():
             opened = [await deployment.connect() for _ in range(5)]
             for caller in opened:
-                caller.send(self._request('queued'))
+                caller.send(_request('queued'))
         for caller in opened:
             assert (await caller.receive()).status == 200
 
@@ -235,16 +294,15 @@
         # on its way.
         await deployment.start(casebook=10)
         unused = await deployment.connect()
-        unused.send(self._request('earlier'))
+        unused.send(_request('earlier'))
         assert (await unused.receive()).status == 200
         deployment.stop()
         await asyncio.sleep(STOP_TIMEOUT_S / 2 - 0.25)
         caller = await deployment.connect()
         assert await unused.receive_end() == b''
-        caller.send(self._request('first'))
+        caller.send(_request('first'))
         assert (await caller.receive()).status == 200
 
-    def _request(self, request_id: str) -> bytes:
-        return callers.encode_request(
-            '/casebook/safe/1', request_id=request_id
-        )
+
+def _request(request_id: str) -> bytes:
+    return callers.encode_request('/casebook/safe/1', request_id=request_id)
