Take only failed reads for an outage of the store

Callers saw: requests that may run once reached a target up to 2.6 s after its registration was removed, while half of the gateways had no power. Cause: a gateway whose providers fall silent reads the store itself after about 1.5 s. Its copy is older than that by then, which counted as an outage of the store, and removals after an outage are put off by 2 s. One failed read of any feed counted as well. Only the feed of the targets, or a store that responds to nothing, delays removals. No read was added. The tests of targets that are kept after a true outage pass before and after, also beside silent gateways. test_topology, test_relays and test_store_eras pass; the whole suite was not run on this commit yet.

--- a/packages/entry/src/dragonflyslip_entry/gateway/adapters.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/adapters.py
@@ -170,10 +170,10 @@
         """Report a record that cannot be used."""
 
     def source_lost(self, source: str, reason: str) -> None:
-        """Report that a source of changes (a feed) does not respond."""
+        """Report that the store does not respond to reads of a feed."""
 
     def source_regained(self, source: str) -> None:
-        """Report that a source of changes responds again."""
+        """Report that the store responds again, if it did not."""
 
 
 class RecordLog(typing.Protocol):
@@ -260,11 +260,13 @@
         record the requests that were in flight at crashes of targets.
     :ivar order_feed: feed of the orders of rollouts, one of ``feeds``.
     :ivar status_feed: feed of the status of rollouts.
+    :ivar target_feed: the one of ``feeds`` in which targets register.
     :ivar manifest_feed: the one of ``feeds`` that holds the manifests.
     """
 
     dialect: Dialect
     feeds: tuple[str, ...]
+    target_feed: str
     manifest_feed: str
     entries_feed: str
     order_feed: str
--- a/packages/entry/src/dragonflyslip_entry/gateway/daemon.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/daemon.py
@@ -96,7 +96,11 @@
             rollout_metrics.RolloutCollector(self.rollouts)
         )
         self.topology = topology.TopologyController(
-            self.board, self.pools, self.loop.time, self.rollouts
+            self.board,
+            self.pools,
+            self.loop.time,
+            self.rollouts,
+            adapter.target_feed,
         )
         prober = probing.Prober(self.board, self.pools, self.dialect)
         self.crashes = crash_reports.CrashReporter(
--- a/packages/entry/src/dragonflyslip_entry/gateway/feeds.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/feeds.py
@@ -23,6 +23,7 @@
 from dragonflyslip_entry.gateway import relay as relay_types
 from dragonflyslip_entry.gateway import renewals
 from dragonflyslip_entry.gateway.rollouts import controller
+from dragonflyslip_entry.gateway import store_contact
 from dragonflyslip_entry import logs
 
 # Long-poll time of a read. The log may fail to wake a waiting read, or its
@@ -44,8 +45,6 @@
 FOLLOWER_RETRY_MAX_S = 2.5
 UPDATE_PERIOD_S = 0.1
 STARTING_UPDATE_PERIOD_S = 0.02
-# A feed counts as lost when its copy is older than this.
-SOURCE_LOST_AGE_S = 1.5
 
 
 class FeedController:
@@ -86,6 +85,9 @@
             feed: followed_feeds.FollowedFeed()
             for feed in (*adapter.feeds, self.entries_feed)
         }
+        self.store_contact = store_contact.StoreContact(
+            board, self.feeds, adapter.target_feed, log, sink
+        )
         self.relay = relay_types.FeedRelay(
             board,
             self.own_id,
@@ -182,13 +184,7 @@
             self._must_read.set()
         else:
             self._must_read.clear()
-        for feed, age_s in self._ages(now).items():
-            if self.feeds[feed].copy.through is None:
-                continue
-            if age_s > SOURCE_LOST_AGE_S:
-                self.sink.source_lost(feed, f'last current {age_s:.1f} s ago')
-            else:
-                self.sink.source_regained(feed)
+        self.store_contact.update(self._ages(now), now)
 
     @property
     def _alone(self) -> bool:
@@ -250,7 +246,12 @@
                 case result.Failure(error):
                     feed.reading = False
                     self.relay.unreadable.add(name)
-                    self.sink.source_lost(name, error.message)
+                    self.store_contact.read_failed(
+                        name,
+                        begun_at + wait_s,
+                        self.loop.time(),
+                        error.message,
+                    )
                     failures += 1
                     # A single lost response is not an outage, so the first
                     # retry is not delayed.
@@ -322,10 +323,10 @@
         """
         feed = self.feeds[name]
         self.relay.unreadable.discard(name)
+        self.store_contact.responded(name)
         if page.is_current:
             feed.read_at = max(feed.read_at, page.answered_at)
         feed.reading = page.is_current and (self._alone or not page.complete)
-        self.sink.source_regained(name)
         if not self._apply_page(name, page):
             # Subscribers learn that their copies are current.
             self.relay.announce()
@@ -376,8 +377,8 @@
         if before is not None and feed.era > before.era:
             self._begin_era(name, before)
         if changes is not None:
-            if self._ages(self.loop.time())[name] <= SOURCE_LOST_AGE_S:
-                self.sink.source_regained(name)
+            # Also if the page was copied: its provider has read the store.
+            self.store_contact.responded(name)
             self._apply_changes(name, changes)
         if feed.copy.through == before:
             return False
--- a/packages/entry/src/dragonflyslip_entry/gateway/followed_feeds.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/followed_feeds.py
@@ -4,6 +4,7 @@
 import dataclasses
 
 from dragonflyslip_core import feeds
+from dragonflyslip_core import outages
 from dragonflyslip_core import waiting_reads
 
 
@@ -19,6 +20,8 @@
         wait for a change.
     :param wait: the read that waits for a change now, if any.
     :param wait_timeout: ends that read when it is rescheduled.
+    :param failed_reads: the own reads that have failed since one succeeded.
+    :param outdated: whether the copy was last found to be out of date.
     """
 
     copy: feeds.FeedCopy = dataclasses.field(default_factory=feeds.FeedCopy)
@@ -26,6 +29,10 @@
     reading: bool = False
     wait: waiting_reads.WaitingRead | None = None
     wait_timeout: asyncio.Timeout | None = None
+    failed_reads: outages.FailedReads = dataclasses.field(
+        default_factory=outages.FailedReads
+    )
+    outdated: bool = False
 
     @property
     def era(self) -> int:
--- a/packages/entry/src/dragonflyslip_entry/gateway/topology.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/topology.py
@@ -18,6 +18,7 @@
 
     :param clock: returns monotonic seconds.
     :param rollouts: follows the orders.
+    :param target_feed: name of the feed in which targets register.
     """
 
     def __init__(
@@ -26,6 +27,7 @@
         pools: target_pools.TargetPools,
         clock: collections.abc.Callable[[], float],
         rollouts: controller.RolloutController,
+        target_feed: str,
     ):
         self.board = board
         self.pools = pools
@@ -34,6 +36,7 @@
         self.rollout_withdrawn = rollouts.rollout_withdrawn
         self.rollouts_listed = rollouts.rollouts_listed
         self.rollouts_through = rollouts.rollouts_through
+        self.target_feed = target_feed
         self.lost_sources: set[str] = set()
 
     def manifest_read(self, manifest: manifest_types.Manifest) -> None:
@@ -123,18 +126,23 @@
         logs.info('record skipped', key=key, reason=reason)
 
     def source_lost(self, source: str, reason: str) -> None:
-        """Count a failure of a source of changes; log the first one."""
-        self.board.count('source_errors')
+        """Count and log that the store does not respond."""
         if source not in self.lost_sources:
+            self.board.count('source_errors')
             self.lost_sources.add(source)
             logs.info('source lost', source=source, reason=reason)
 
     def source_regained(self, source: str) -> None:
-        """Log that a source of changes responds again."""
-        if source in self.lost_sources:
-            self.lost_sources.discard(source)
+        """Log that the store responds again.
+
+        Registrations may have expired only while their own feed was away.
+        """
+        if source not in self.lost_sources:
+            return
+        self.lost_sources.discard(source)
+        if source == self.target_feed:
             self.board.directory.registry_recovered(self.clock())
-            logs.info('source regained', source=source)
+        logs.info('source regained', source=source)
 
     def expire(self) -> None:
         """Apply what was delayed: removed targets, domains put back."""
--- a/tests/adapter/test_relays.py
+++ b/tests/adapter/test_relays.py
@@ -19,6 +19,14 @@
 # 1 MiB, one read from the socket and the buffers of both sockets.
 MAX_ACCEPTED_BYTES = 2_097_152
 ENTRIES_TOPIC = 'keyed.dragonflyslip'
+# Registrations of targets that report each second may expire in an outage of
+# this length.
+OUTAGE_S = 3.0
+OUTAGES = [
+    store_types.StoreFault.BUSY,
+    store_types.StoreFault.RESET,
+    store_types.StoreFault.SILENT,
+]
 
 
 async def _start(platform, count: int, store_urls: list[str] = ()) -> list:
@@ -204,6 +212,53 @@
                 ):
                     await asyncio.sleep(0.01)
 
+    @pytest.mark.parametrize('silent', [[0, 1], [0, 1, 2, 3]])
+    @pytest.mark.parametrize('since_s', [0.0, 0.5, 1.0, 2.0])
+    async def test_target_is_removed_though_gateways_are_silent(
+        self, platform, silent, since_s
+    ):
+        # Guards against gateways that take the silence of those from which
+        # they copy for an outage of the store, and then keep removed targets.
+        gateways = await _start(platform, 9)
+        for number in silent:
+            _stop_messages(gateways[number])
+        await asyncio.sleep(since_s)
+        removed = platform.targets[0].target_id
+        await platform.store.put(store_types.TARGET_TOPIC, removed, b'')
+        others = gateways[max(silent) + 1 :]
+        async with asyncio.timeout(IN_FORCE_S):
+            while any(
+                removed in item.board.directory.targets for item in others
+            ):
+                await asyncio.sleep(0.01)
+
+    @pytest.mark.parametrize('fault', OUTAGES)
+    async def test_target_stays_if_the_store_is_away_too(
+        self, platform, fault
+    ):
+        # Guards against the loss of targets whose registration expired in an
+        # outage that began beside silent gateways.
+        gateways = await _start(platform, 5)
+        _stop_messages(gateways[0])
+        _stop_messages(gateways[1])
+        platform.store.fault = fault
+        await asyncio.sleep(OUTAGE_S)
+        expired = platform.targets[0].target_id
+        platform.store.fault = store_types.StoreFault.NONE
+        await platform.store.put(store_types.TARGET_TOPIC, expired, b'')
+        kept = set()
+
+        def all_kept() -> bool:
+            for item in gateways[2:]:
+                target = item.board.directory.targets.get(expired)
+                if target is None:
+                    assert item in kept
+                elif target.remove_at is not None:
+                    kept.add(item)
+            return len(kept) == len(gateways[2:])
+
+        await platform.until(all_kept)
+
     async def test_gateway_cut_from_all_others_reads_the_store(self, platform):
         gateways = await _start(platform, 4)
         last = gateways[3]
--- a/tests/adapter/test_topology.py
+++ b/tests/adapter/test_topology.py
@@ -188,6 +188,63 @@
             while board.manifest.version != 2:
                 await asyncio.sleep(0.05)
 
+    async def test_target_is_removed_in_time_though_an_answer_is_lost(
+        self, platform
+    ):
+        # Guards against a single lost response that counts as an outage, in
+        # which the registration may have expired.
+        await platform.add_target()
+        await platform.publish()
+        await platform.start()
+        platform.store.responses_to_lose = 1
+        removed = platform.targets[0].target_id
+        await platform.store.put(store_types.TARGET_TOPIC, removed, b'')
+        targets = platform.gateway.board.directory.targets
+        async with asyncio.timeout(2.0):
+            while removed in targets:
+                await asyncio.sleep(0.05)
+
+    async def test_target_is_removed_in_time_though_another_feed_is_away(
+        self, platform
+    ):
+        # Guards against an outage of a part of the store that counts as one
+        # of the part with the registrations.
+        await platform.add_target()
+        await platform.publish()
+        await platform.start()
+        sink = platform.gateway.topology
+        sink.source_lost(store_types.OPERATOR_TOPIC, 'a read failed')
+        sink.source_regained(store_types.OPERATOR_TOPIC)
+        removed = platform.targets[0].target_id
+        await platform.store.put(store_types.TARGET_TOPIC, removed, b'')
+        targets = platform.gateway.board.directory.targets
+        async with asyncio.timeout(1.0):
+            while removed in targets:
+                await asyncio.sleep(0.05)
+
+    @pytest.mark.parametrize('outage_s', [1.8, 3.0])
+    async def test_target_that_expired_in_an_outage_stays_for_a_time(
+        self, platform, outage_s
+    ):
+        # Guards against the loss of a target whose registration expired
+        # because it could not reach the store either.
+        await platform.add_target()
+        await platform.publish()
+        await platform.start()
+        platform.store.fault = store_types.StoreFault.SILENT
+        # The store still answers the reads that wait, up to 1.2 s later.
+        await asyncio.sleep(1.2 + outage_s)
+        platform.store.fault = store_types.StoreFault.NONE
+        expired = platform.targets[0].target_id
+        await platform.store.put(store_types.TARGET_TOPIC, expired, b'')
+        target = platform.gateway.board.directory.targets[expired]
+        await platform.until(lambda: target.remove_at is not None)
+        await platform.targets[0].register(platform.store)
+        known = platform.gateway.board.directory
+        await platform.until(lambda: known.targets[expired] is not target)
+        await asyncio.sleep(2.5)
+        assert known.usable_targets('casebook')
+
     async def test_targets_beyond_one_page_are_read(self, platform):
         platform.store.page_items = 2
         for _ in range(5):
