--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -823,6 +823,20 @@
         'protocol.close()',
         f'{_TOPOLOGY_TESTS}::TestLifetime',
     ),
+    Mutation(
+        'gateway-close-in-one-step',
+        f'{_ENTRY}/lingering_close.py',
+        'self.transport.write_eof()',
+        'self.transport.close()',
+        'tests/adapter/test_closing.py::TestRefusedConnections',
+    ),
+    Mutation(
+        'gateway-single-lost-answer',
+        f'{_CORE}/outages.py',
+        'now - self.since >= MIN_OUTAGE_S',
+        'True',
+        f'{_CORE_TESTS}/test_outages.py',
+    ),
     Mutation(
         'gateway-unready',
         f'{_GATEWAY}/board.py',
