Test removals with ended links and a store that turns one gateway away

Change: two tests. Without a link to a provider no copy was ever known to be current; a gateway that the store turns away reads without success beside a provider that is current.

--- a/tests/adapter/test_relays.py
+++ b/tests/adapter/test_relays.py
@@ -76,6 +76,20 @@
             await asyncio.sleep(0.01)
 
 
+async def _wait_until_removed(platform, gateways) -> None:
+    """Remove the first target and wait until the gateways have done so.
+
+    :raises TimeoutError: if that takes longer than ``IN_FORCE_S``.
+    """
+    removed = platform.targets[0].target_id
+    await platform.store.put(store_types.TARGET_TOPIC, removed, b'')
+    async with asyncio.timeout(IN_FORCE_S):
+        while any(
+            removed in item.board.directory.targets for item in gateways
+        ):
+            await asyncio.sleep(0.01)
+
+
 def _disconnect_store(gateway) -> None:
     # Nothing listens on this port, and open connections to the store are not
     # used for another URL.
@@ -204,13 +218,7 @@
         # Guards against gateways that take silent readers for an outage of
         # the store, after which they keep removed targets for 2 s more.
         async with _silent_readers(platform, count) as (_, others):
-            removed = platform.targets[0].target_id
-            await platform.store.put(store_types.TARGET_TOPIC, removed, b'')
-            async with asyncio.timeout(IN_FORCE_S):
-                while any(
-                    removed in item.board.directory.targets for item in others
-                ):
-                    await asyncio.sleep(0.01)
+            await _wait_until_removed(platform, others)
 
     @pytest.mark.parametrize('silent', [[0, 1], [0, 1, 2, 3]])
     @pytest.mark.parametrize('since_s', [0.0, 0.5, 1.0, 2.0])
@@ -223,14 +231,34 @@
         for number in silent:
             _stop_messages(gateways[number])
         await asyncio.sleep(since_s)
-        removed = platform.targets[0].target_id
-        await platform.store.put(store_types.TARGET_TOPIC, removed, b'')
-        others = gateways[max(silent) + 1 :]
-        async with asyncio.timeout(IN_FORCE_S):
-            while any(
-                removed in item.board.directory.targets for item in others
-            ):
-                await asyncio.sleep(0.01)
+        await _wait_until_removed(platform, gateways[max(silent) + 1 :])
+
+    async def test_target_is_removed_though_links_to_providers_end(
+        self, platform
+    ):
+        # Guards against the same when providers are killed: without a link to
+        # any, no copy was ever known to be current.
+        gateways = await _start(platform, 4)
+        last = gateways[3]
+        for provider_link in last.feeds.relay._links.values():
+            provider_link.link.close()
+        last.feeds.relay._open_link = lambda provider: None
+        await _wait_until_removed(platform, [last])
+
+    async def test_target_is_removed_where_the_store_turns_one_away(
+        self, platform
+    ):
+        # Guards against own reads that fail and count as an outage although
+        # the copy of a provider is current.
+        gateways = await _start(platform, 4)
+        last = gateways[3]
+        _disconnect_store(last)
+        # With a single fresh provider it reads the store after 2 s.
+        _stop_messages(gateways[1])
+        _stop_messages(gateways[2])
+        failed = last.feeds.feeds[store_types.TARGET_TOPIC].failed_reads
+        await platform.until(lambda: failed.reason)
+        await _wait_until_removed(platform, [last])
 
     @pytest.mark.parametrize('fault', OUTAGES)
     async def test_target_stays_if_the_store_is_away_too(
