--- a/tests/adapter/test_topology.py
+++ b/tests/adapter/test_topology.py
@@ -222,7 +222,7 @@
             while removed in targets:
                 await asyncio.sleep(0.05)
 
-    @pytest.mark.parametrize('outage_s', [1.8, 3.0])
+    @pytest.mark.parametrize('outage_s', [1.0, 1.8, 3.0])
     async def test_target_that_expired_in_an_outage_stays_for_a_time(
         self, platform, outage_s
     ):
