--- a/review/standins-3/world.py
+++ b/review/standins-3/world.py
@@ -455,12 +455,15 @@
     record('the disruption is', 'played' if trouble else 'left out')
 
     async def limited():
+        loop, task = asyncio.get_running_loop(), asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, task.cancel)
         async with asyncio.timeout(limit_s):
             return await main(record, trouble)
 
     try:
         violations = asyncio.run(limited())
-    except Exception:
+    except (Exception, asyncio.CancelledError):
         record('the case could not run')
         record(traceback.format_exc())
         sys.exit(2)
