Review case 12: count only requests broken off at an upstream at work

Cause: the judge also counted requests whose upstream had answered, and the stand-in server did not keep to its slots. Change: both, and the limits that the claims quote.

--- a/review/12/case.py
+++ b/review/12/case.py
@@ -135,16 +135,22 @@
             if number < len(client.answers):
                 answer = client.answers[number]
             own = answer is None or 'x-server-stamp' not in answer[1]
-            # In the other runs, the clients end while they are waiting.
-            if own and trouble:
+            # An answer of the gateway breaks the rule only if it comes in
+            # place of an upstream's that was still at work.
+            at_work = [run for run in passed_on if run['ended'] == 'dropped']
+            # Without the disruption, the clients end while they are waiting.
+            if own and at_work and (trouble or answer is not None):
                 violations.append(
                     f'LOST: {request_id} was sent {sent_s:.2f} s after '
-                    f'SIGTERM and passed on to {passed_on[0]["server"]}, '
-                    f'whose run ended as {passed_on[0]["ended"]}; the client '
-                    f'got {answer and answer[0]} {answer and answer[2]}'
+                    f'SIGTERM and broken off at {at_work[0]["server"]}; the '
+                    f'client got {answer and answer[0]} '
+                    f'{answer and answer[2]}'
                 )
-            elif own and answer is not None:
-                violations.append(f'LOST: {request_id} got {answer}')
+    most = max(server.most_running for server in platform.servers)
+    record(
+        f'at most {most} of 6 slots of a server were in use, '
+        f'{platform.refusals} requests were turned away by full ones'
+    )
     record(
         f'{late} requests sent {EXCUSED_S:g} s after SIGTERM or later were '
         'passed on'
--- a/review/standins-3/world.py
+++ b/review/standins-3/world.py
@@ -72,6 +72,7 @@
         self.born = int(time.time() * 1000)
         self.sequence = 0
         self.running = 0
+        self.most_running = 0
         self.runs = []
         self.state = 'ready'
         self.writers = set()
@@ -200,8 +201,21 @@
 
     async def handle(self, request, reader, writer):
         request['body'] = await self.read_body(reader, request)
+        if self.running >= self.slots:
+            # Full: it says that it does not run the request.
+            self.world.record(f'{self.service} {self.id} is full')
+            self.world.refusals += 1
+            request_id = request['headers'].get('x-request-id', '')
+            self.respond(
+                writer,
+                503,
+                {'X-Request-Id': request_id, 'X-Not-Executed': '1'},
+                b'',
+            )
+            return None
         run = self.begin(request)
         self.running += 1
+        self.most_running = max(self.most_running, self.running)
         try:
             work = asyncio.ensure_future(asyncio.sleep(self.work_of(request)))
             while not work.done():
@@ -340,6 +354,8 @@
         self.servers = []
         self.gateways = []
         self.version = 0
+        # Requests that a full server has turned away.
+        self.refusals = 0
 
     async def start(self):
         await self.store.start()
