Refuse requests that a stop leaves no time to end

Cause: a request was passed on as long as two target latencies of its route were left. The target latency is an objective and bounds no run; the work of these requests takes 2.3 of them. The record of the case rules out a wait in the gateway: the targets begin the cut requests as soon as the one before on the connection has ended, with 1.31 to 1.39 s left for work of 1.4 s.

Change: a request that is read later than 2.9 s after the signal is refused, since a stop may cut only what was sent within 3 s of it. An earlier one is passed on, repeated or hedged if 95 in 100 of the route's last 64 requests would have ended in the time that is left. The lines of requests in a stop log both times. This also serves routes whose objective is long and whose work is short, which were refused from the signal on.

--- a/packages/entry/src/dragonflyslip_entry/drain.py
+++ b/packages/entry/src/dragonflyslip_entry/drain.py
@@ -8,6 +8,13 @@
 # Requests are not ended earlier than after this fraction of the stop timeout:
 # a target that is at work may still respond.
 FULL_SERVICE_FRACTION = 5 / 6
+# A target may be cut off only on requests that were sent within 3 s of the
+# signal, so later ones are not passed on. The rest of the 3 s allows for a
+# signal that a busy process handles late.
+MAX_FORWARD_S = 2.9
+# With a short stop timeout, the requests that are passed on last still get
+# the rest of it.
+FORWARD_FRACTION = 3 / 4
 # Time for sending the error responses of requests that get no other one.
 ERROR_SEND_TIME_S = 0.3
 # Fraction of the margin in which an instance may still wait for anything. The
@@ -21,12 +28,14 @@
     """The steps of a drain, in seconds of the event loop's clock.
 
     :param close_idle_at: the listener and unused connections are closed.
+    :param forward_until: requests that arrive later are refused.
     :param answer_at: requests without a response get an error response.
     :param end_at: the requests that are left are cut.
     :param exit_at: nothing is waited for any more, and the process ends.
     """
 
     close_idle_at: float
+    forward_until: float
     answer_at: float
     end_at: float
     exit_at: float
@@ -49,6 +58,8 @@
         end_at = now + stop_timeout_s - margin_s
         return cls(
             close_idle_at=now + min(accept_s, stop_timeout_s / 2),
+            forward_until=now
+            + min(MAX_FORWARD_S, FORWARD_FRACTION * stop_timeout_s),
             answer_at=max(
                 now + FULL_SERVICE_FRACTION * stop_timeout_s,
                 end_at - ERROR_SEND_TIME_S,
--- a/packages/entry/src/dragonflyslip_entry/gateway/board.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/board.py
@@ -11,6 +11,7 @@
 from dragonflyslip_core import placement
 from dragonflyslip_core import providers
 from dragonflyslip_core import request_crashes
+from dragonflyslip_core import response_times as response_time_types
 from dragonflyslip_core import target_limits
 from dragonflyslip_entry import logs
 
@@ -35,6 +36,8 @@
         this gateway, by target id.
     :param route_loads: statistics of service times and callers' timeouts, by
         service and kind of route.
+    :param response_times: how long requests of a route have lately taken, by
+        name of the route.
     :param draining: whether the process is about to stop.
     :param store_era: newest era of the copies of the store's feeds.
     :param counters: counts by metric name without the common prefix.
@@ -63,6 +66,9 @@
     route_loads: dict[
         tuple[str, manifest_types.RouteKind], admission.RouteLoad
     ] = dataclasses.field(default_factory=dict)
+    response_times: dict[str, response_time_types.ResponseTimes] = (
+        dataclasses.field(default_factory=dict)
+    )
     counters: collections.Counter[str] = dataclasses.field(
         default_factory=collections.Counter
     )
@@ -126,6 +132,23 @@
             load = self.route_loads[service, kind] = admission.RouteLoad()
         return load
 
+    def response_times_of(
+        self, route: str
+    ) -> response_time_types.ResponseTimes:
+        """Return how long requests of a route have lately taken."""
+        known = self.response_times.get(route)
+        if known is None:
+            known = response_time_types.ResponseTimes()
+            self.response_times[route] = known
+        return known
+
+    def set_manifest(self, manifest: manifest_types.Manifest) -> None:
+        """Bring a manifest into force."""
+        self.manifest = manifest
+        names = {route.name for route in manifest.routes}
+        for name in self.response_times.keys() - names:
+            del self.response_times[name]
+
     def record_limit(
         self,
         target_id: str,
--- a/packages/entry/src/dragonflyslip_entry/gateway/calls.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/calls.py
@@ -12,6 +12,7 @@
 from dragonflyslip_core import quotas
 from dragonflyslip_core import request_crashes
 from dragonflyslip_core import request_identity
+from dragonflyslip_core import response_times as response_time_types
 from dragonflyslip_core import rollouts
 from dragonflyslip_entry import errors
 from dragonflyslip_entry.gateway.caller_limits import limiter as limiter_types
@@ -23,10 +24,6 @@
 # Bytes of a body that wait in the process before it stops reading, twice the
 # read buffer of the connection.
 MAX_UNREAD_BYTES = 131_072
-# A gateway that stops passes a request on only if this many target latencies
-# are left until it ends its requests. Nearly every request ends within them,
-# and a refused caller can go to another gateway at once.
-STOP_LATENCIES = 2.0
 
 
 @dataclasses.dataclass(eq=False)
@@ -42,6 +39,7 @@
     :param headers: end-to-end headers, among them the credentials.
     :param priority_rank: number of ranks by which it is more urgent than the
         least urgent request of its service.
+    :param response_times: how long requests of its route have lately taken.
     :param version: version of the manifest that chose the route.
     :param sent_to: ids of the targets that it was written to.
     :param refusals: number of targets that stated that they did not run it.
@@ -72,6 +70,7 @@
     caller_deadline_at: float
     waited_before_s: float
     priority_rank: int
+    response_times: response_time_types.ResponseTimes
     version: int
     sent_to: list[str] = dataclasses.field(default_factory=list)
     refusals: int = 0
@@ -118,7 +117,10 @@
 
         :param now: time of the event loop.
         """
-        return has_time_to_end(self.route, now, self.stop_at)
+        if math.isinf(self.stop_at):
+            return True
+        needed_s = self.response_times.needed_s(self.route.target_latency_s)
+        return self.stop_at - now >= needed_s
 
     @property
     def attempts_left(self) -> int:
@@ -126,16 +128,6 @@
         return self.route.max_attempts - len(self.sent_to)
 
 
-def has_time_to_end(
-    route: manifest_types.Route, now: float, stop_at: float
-) -> bool:
-    """Return whether a request passed on now ends before a stop.
-
-    :param stop_at: when the stop ends all requests; infinite without one.
-    """
-    return stop_at - now >= STOP_LATENCIES * route.target_latency_s
-
-
 def identity_of(call: Call, body: 'RequestBody | None') -> str | None:
     """Return the identity of a request, None until its body is known."""
     if body is None:
--- a/packages/entry/src/dragonflyslip_entry/gateway/daemon.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/daemon.py
@@ -234,7 +234,7 @@
         self, listener: asyncio.Server, schedule: drain.DrainSchedule
     ) -> None:
         self.board.draining = True
-        self.handler.answer_by(schedule.answer_at)
+        self.handler.answer_by(schedule.forward_until, schedule.answer_at)
         self.peer_port.close()
         self._start(self.feeds.leave())
         await asyncio.sleep(schedule.close_idle_at - self.loop.time())
--- a/packages/entry/src/dragonflyslip_entry/gateway/handling.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/handling.py
@@ -77,6 +77,7 @@
         self.metrics = gateway_metrics
         self.loop = asyncio.get_running_loop()
         self.busy: set[typing.Any] = set()
+        self.forward_until = math.inf
         self.stop_at = math.inf
         self.unfinished: dict[calls.Call, asyncio.Timeout] = {}
         self.in_flight = 0
@@ -96,12 +97,16 @@
             if self.in_flight == 0:
                 self.idle.set()
 
-    def answer_by(self, stop_at: float) -> None:
+    def answer_by(self, forward_until: float, stop_at: float) -> None:
         """End the present and all further requests because of a stop.
 
+        Times are those of the event loop's clock.
+
+        :param forward_until: when requests begin to be refused on arrival.
         :param stop_at: when requests without a response get an error
-            response, on the event loop's clock.
+            response.
         """
+        self.forward_until = forward_until
         self.stop_at = stop_at
         for call, timeout in self.unfinished.items():
             # An expired timeout cannot be rescheduled.
@@ -126,7 +131,9 @@
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         now = self.loop.time()
-        call = self.matcher.match(request, now, self.stop_at)
+        call = self.matcher.match(
+            request, now, self.forward_until, self.stop_at
+        )
         if isinstance(call, error_responses.ErrorResponse):
             self.metrics.request_ended('', call.status, 0.0)
             metadata = self.dialect.parse_request(request.headers)
@@ -184,6 +191,8 @@
         self, call: calls.Call
     ) -> error_responses.ErrorResponse:
         if not call.ends_with_stop:
+            if call.may_have_run:
+                call.response_times.record(self.loop.time() - call.arrived_at)
             call.reason = call.reason or 'timeout'
             return error_responses.ErrorResponse(504, 'timeout')
         call.reason = error_responses.STOPPING.reason
@@ -402,6 +411,8 @@
             response = self.responder.relayed(request, answer)
         else:
             response = answer
+        if response.status < 500:
+            call.response_times.record(self.loop.time() - call.arrived_at)
         self._log_result(call, 'request answered', response.status)
         return response
 
@@ -430,8 +441,20 @@
             status=status,
             reason=call.reason,
             ms=round(elapsed_s * 1000, 1),
+            **self._stop_fields(call),
         )
 
+    def _stop_fields(self, call: calls.Call) -> dict[str, float]:
+        """Return what a stop left for the request when it arrived."""
+        if math.isinf(self.stop_at):
+            return {}
+        left_s = self.stop_at - call.arrived_at
+        needed_s = call.response_times.needed_s(call.route.target_latency_s)
+        return {
+            'stop_left_ms': round(left_s * 1000, 1),
+            'needed_ms': round(needed_s * 1000, 1),
+        }
+
     def _version_fields(self, call: calls.Call) -> dict[str, list[str]]:
         """Return the versions of the targets if a service has several."""
         versions = self.versions.versions_of(call.service.name, call.sent_to)
--- a/packages/entry/src/dragonflyslip_entry/gateway/request_matching.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/request_matching.py
@@ -30,14 +30,20 @@
         self.authenticator = authenticator
 
     def match(
-        self, request: web.BaseRequest, now: float, stop_at: float
+        self,
+        request: web.BaseRequest,
+        now: float,
+        forward_until: float,
+        stop_at: float,
     ) -> calls.Call | error_responses.ErrorResponse:
         """Return the call of a request, or why there is none.
 
         :param now: time of the event loop.
+        :param forward_until: from when on a stop refuses all requests;
+            infinite without one.
         :param stop_at: when a stop ends all requests; infinite without one.
         """
-        if now >= stop_at:
+        if now >= forward_until:
             return error_responses.STOPPING
         manifest = self.board.manifest
         if manifest is None or not self.board.targets_listed:
@@ -57,8 +63,6 @@
         key_check = self.authenticator.check(route, credentials, now)
         if not key_check.allowed:
             return self.authenticator.refusal(key_check, route)
-        if not calls.has_time_to_end(route, now, stop_at):
-            return error_responses.STOPPING
         if _head_bytes(request) > manifest.limits.max_header_bytes:
             return error_responses.ErrorResponse(431, 'head-too-large')
         limit = manifest.limits.max_body_bytes
@@ -82,7 +86,7 @@
             request.headers, self.dialect.end_to_end_headers
         )
         forwarded['Host'] = target.host
-        return calls.Call(
+        call = calls.Call(
             request_id=metadata.request_id,
             route=route,
             service=service,
@@ -97,10 +101,12 @@
             priority_rank=manifest.priority_rank(
                 service.name, route, key_check.account
             ),
+            response_times=self.board.response_times_of(route.name),
             version=manifest.version,
             credentials=credentials,
             key_check=key_check,
         )
+        return call if call.can_end(now) else error_responses.STOPPING
 
 
 def _head_bytes(request: web.BaseRequest) -> int:
--- a/packages/entry/src/dragonflyslip_entry/gateway/topology.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/topology.py
@@ -51,7 +51,7 @@
                     in_force=known.version,
                 )
             return
-        self.board.manifest = manifest
+        self.board.set_manifest(manifest)
         logs.info(
             'manifest in force',
             version=manifest.version,
--- a/tests/adapter/test_late_requests.py
+++ b/tests/adapter/test_late_requests.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import itertools
 
 import pytest
 
@@ -14,6 +15,10 @@
 # The gateway answers all requests 0.4 s before the stop timeout in this test.
 TARGET_LATENCY_S = 0.7
 WORK_S = 1.0
+# Three quarters of it pass before requests are refused on arrival.
+LONG_STOP_TIMEOUT_S = 4.0
+# Requests after which a gateway knows how long the work takes.
+LEARNED_FROM = 20
 _BODY = b'0123456789'
 
 
@@ -92,3 +97,76 @@
                 target.crash()
         assert (await caller.receive()).status == 502
         assert len(platform.runs()) == 1
+
+
+class TestCallersThatSendAhead:
+    """Callers that send each request before the last one is answered."""
+
+    async def _answers_in_stop(
+        self, platform, work_s: float, learned: bool
+    ) -> list[callers.Answer]:
+        """Stop the gateway while a caller keeps two requests on their way.
+
+        :param learned: whether earlier requests have shown how long the work
+            takes.
+        """
+        await platform.add_target(work_s=work_s, slots=LEARNED_FROM)
+        await platform.publish(
+            platform.route('safe', timeout='20s', target_latency='200ms')
+        )
+        await platform.start(stop_timeout=f'{LONG_STOP_TIMEOUT_S}s')
+        if learned:
+            replies = await asyncio.gather(
+                *(platform.call(wait_ms=20_000) for _ in range(LEARNED_FROM))
+            )
+            assert {reply.status for reply in replies} == {200}
+        caller = await callers.KeptConnection.open(platform.port)
+        caller.send(_request('GET', 1) + _request('GET', 2))
+        await platform.until(
+            lambda: any(run.request_id == 'late-1' for run in platform.runs())
+        )
+        platform.gateway.stopping.set()
+        answers = []
+        for number in itertools.count(3):
+            answers.append(await caller.receive())
+            if answers[-1].headers.get('connection') == 'close':
+                return answers
+            caller.send(_request('GET', number))
+
+    @pytest.mark.parametrize(
+        'work_s, learned', [(1.0, False), (1.0, True), (1.3, True)]
+    )
+    async def test_request_whose_work_exceeds_its_objective_is_not_cut(
+        self, platform, work_s, learned
+    ):
+        # Guards against a request that is passed on late in a stop, since its
+        # target latency is left, and cut since its work takes longer.
+        answers = await self._answers_in_stop(platform, work_s, learned)
+        statuses = [answer.status for answer in answers]
+        assert set(statuses) == {200, 503}
+        assert statuses == sorted(statuses)
+        assert statuses.count(200) >= 2
+        assert all(run.finished for run in platform.runs())
+
+    async def test_connection_ends_with_the_first_refusals(self, platform):
+        # Guards against a caller that learns of the end of its connection
+        # only after many refusals.
+        answers = await self._answers_in_stop(platform, 1.0, True)
+        assert [answer.status for answer in answers].count(503) <= 2
+
+    async def test_short_work_of_a_route_with_a_long_objective_is_done(
+        self, platform
+    ):
+        # Guards against the refusal of all requests in a stop because their
+        # target latency is long, although they end within some milliseconds.
+        await platform.add_target(work_s=0.02, slots=LEARNED_FROM)
+        await platform.publish(
+            platform.route('safe', timeout='20s', target_latency='4s')
+        )
+        await platform.start(stop_timeout=f'{LONG_STOP_TIMEOUT_S}s')
+        for _ in range(LEARNED_FROM):
+            assert (await platform.call()).status == 200
+        caller = await callers.KeptConnection.open(platform.port)
+        platform.gateway.stopping.set()
+        caller.send(_request('GET', 1))
+        assert (await caller.receive()).status == 200
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -418,7 +418,7 @@
     Mutation(
         'stop-without-answers',
         f'{_GATEWAY}/daemon.py',
-        'self.handler.answer_by(schedule.answer_at)',
+        'self.handler.answer_by(schedule.forward_until, schedule.answer_at)',
         'pass',
         'tests/adapter/test_drain.py::TestUnfinishedRequests',
     ),
@@ -635,11 +635,18 @@
     ),
     Mutation(
         'late-request-passed-on',
-        f'{_GATEWAY}/calls.py',
-        'STOP_LATENCIES = 2.0',
-        'STOP_LATENCIES = 0.0',
+        f'{_CORE}/response_times.py',
+        'ASSUMED_LATENCIES = 2.0',
+        'ASSUMED_LATENCIES = 0.0',
         'tests/adapter/test_late_requests.py',
     ),
+    Mutation(
+        'request-passed-on-after-the-line',
+        f'{_ENTRY}/drain.py',
+        '+ min(MAX_FORWARD_S, FORWARD_FRACTION * stop_timeout_s),',
+        '+ stop_timeout_s,',
+        'tests/adapter/test_late_requests.py::TestCallersThatSendAhead',
+    ),
     Mutation(
         'late-body-passed-on',
         f'{_GATEWAY}/sending.py',
