Share one bound for texts, and keep tasks running after one bad item

Cause: records of the store may state texts of 300 characters, messages between gateways carried 256. The error of the message left the loop of the task that keeps quotas, and a gateway stops if such a task ends. The log of a trial shows it: QuotaController._tick, PeerNetwork.send, write_ask, "account is longer than 256 characters". The gateway that would have received the message goes on, which rules out the receiver.

Change: names.MAX_TEXT_LENGTH bounds texts in records and in messages. A message that is out of bounds is logged and refused by PeerNetwork.send. An exception of one step of the quotas or the feeds is counted and logged once a minute, and the next step follows. An ask for tokens names at most 256 accounts: with 600 accounts of one shard and long names it took 191 kB, more than a link accepts, and was never sent.

Two tests of the wire asserted a bound of 256; they now ask for the shared one and one more.

--- a/packages/core/src/dragonflyslip_core/quotas/limiter.py
+++ b/packages/core/src/dragonflyslip_core/quotas/limiter.py
@@ -15,6 +15,9 @@
 
 # Shortest time between two asks for tokens of a shard.
 ASK_SPACING_S = 0.01
+# Accounts of one ask. With the longest names it is still short enough to be
+# sent at once; the others are asked for in the next one.
+MAX_ASKED_ACCOUNTS = 256
 # Shortest Retry-After.
 MIN_RETRY_AFTER_S = 0.02
 # Retry-After when neither the owner nor the own share gives a time.
@@ -239,6 +242,8 @@
         wants: dict[str, int] = {}
         if is_target:
             for account in self._active.get(shard, ()):
+                if len(wants) == MAX_ASKED_ACCOUNTS:
+                    break
                 wanted = self.holdings[account].wanted(now)
                 if wanted:
                     wants[account] = wanted
@@ -246,10 +251,14 @@
             return None
         number, lease = lender.begin_ask(name, lends, now)
         returns: dict[str, int] = {}
+        named = set(wants)
         for account in self._active.get(shard, ()):
+            if len(named) == MAX_ASKED_ACCOUNTS:
+                break
             unneeded = self.holdings[account].take_unneeded(lease, now)
             if unneeded:
                 returns[account] = unneeded
+                named.add(account)
         for account, wanted in wants.items():
             self.holdings[account].record_ask(wanted, now)
         return messages.QuotaAsk(
@@ -260,7 +269,7 @@
                 messages.AccountAsk(
                     account, wants.get(account, 0), returns.get(account, 0)
                 )
-                for account in sorted({*wants, *returns})
+                for account in sorted(named)
             ),
         )
 
--- a/packages/core/tests/test_quotas.py
+++ b/packages/core/tests/test_quotas.py
@@ -11,7 +11,9 @@
 from dragonflyslip_core import membership
 from dragonflyslip_core import quotas
 from dragonflyslip_core.quotas import holdings
+from dragonflyslip_entry.gateway import peer_network
 from dragonflyslip_testing import quota_fleet
+import dragonflyslip_wire as wire
 
 
 def account(name='a', rate=40.0, burst=10.0):
@@ -286,3 +288,28 @@
     derandomize=True,
     suppress_health_check=list(hypothesis.HealthCheck),
 )
+
+
+class TestAsks:
+    def test_many_accounts_with_long_names_all_get_tokens(self, monkeypatch):
+        # Guards against an ask or a grant that is too long for a message
+        # because many accounts want tokens at once: it was never sent.
+        listed = [
+            account(f'{number:04}' + 'n' * 296, rate=5.0, burst=5.0)
+            for number in range(2_400)
+        ]
+        fleet = quota_fleet.QuotaFleet(2, listed)
+        lengths = []
+        transmit = fleet._transmit
+
+        def record(sender, name, event, message):
+            lengths.append(len(wire.encode_frame(message)))
+            transmit(sender, name, event, message)
+
+        monkeypatch.setattr(fleet, '_transmit', record)
+        fleet.run(3.0)
+        for known in listed:
+            fleet.request_later('g0', known.name, 0.0)
+        fleet.run(1.0)
+        assert max(lengths) <= peer_network.MAX_LINK_UNSENT_BYTES
+        assert len(fleet.admitted) == len(listed)
--- a/packages/entry/src/dragonflyslip_entry/gateway/daemon.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/daemon.py
@@ -263,7 +263,7 @@
                 self._maintain()
             except Exception as error:
                 self.board.count('program_faults')
-                logs.LOGGER.error('maintenance failed', exc_info=error)
+                logs.fault('maintenance failed', error)
 
     def _maintain(self) -> None:
         self.topology.expire()
@@ -304,8 +304,8 @@
         self._tasks.append(task)
 
     def _stop_on_failure(self, task: asyncio.Task) -> None:
-        # Without a controller the gateway would go on with stale state, so it
-        # stops.
+        # Controllers go on after a fault of one record, message or step. One
+        # that ends all the same leaves stale state, so the gateway stops.
         if not task.cancelled() and task.exception() is not None:
             logs.LOGGER.error('controller failed', exc_info=task.exception())
             self.stopping.set()
--- a/packages/entry/src/dragonflyslip_entry/gateway/feeds.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/feeds.py
@@ -152,15 +152,21 @@
         self._apply_page(self.entries_feed, page)
         if not self.registry.begin_following():
             self.renewals.begin()
-        self._update(now)
+        self._try_update(now)
 
     async def _run_updates(self) -> None:
         while True:
-            self._update(self.loop.time())
+            self._try_update(self.loop.time())
             await asyncio.sleep(
                 STARTING_UPDATE_PERIOD_S if self._starting else UPDATE_PERIOD_S
             )
 
+    def _try_update(self, now: float) -> None:
+        try:
+            self._update(now)
+        except Exception as error:
+            self._record_fault(error, 'update')
+
     def _update(self, now: float) -> None:
         for feed in self.feeds.values():
             feed.end_outdated_wait(self.log.era, now)
@@ -231,32 +237,47 @@
             if (pause_s := self._reread_delay_s(feed, begun_at)) > 0:
                 await asyncio.sleep(pause_s)
                 continue
-            self.board.count('feed_reads')
-            wait_s = self._choose_wait_s(feed, begun_at)
-            match await self._read_once(name, begun_at, wait_s):
-                case result.Success(page):
-                    failures = 0
-                    is_early = (
-                        not page.complete
-                        and page.answered_at - begun_at < wait_s / 2
-                    )
-                    await asyncio.sleep(
-                        self._handle_read(name, page, is_early)
-                    )
-                case result.Failure(error):
-                    feed.reading = False
-                    self.relay.unreadable.add(name)
-                    self.store_contact.read_failed(
-                        name,
-                        begun_at + wait_s,
-                        self.loop.time(),
-                        error.message,
-                    )
-                    failures += 1
-                    # A single lost response is not an outage, so the first
-                    # retry is not delayed.
-                    if failures > 1:
-                        await asyncio.sleep(self._retry_delay_s())
+            try:
+                failed = not await self._read_page(name, begun_at)
+            except Exception as error:
+                # All gateways read the feed, and would end together.
+                self._record_fault(error, f'read of {name}')
+                feed.reading = False
+                failed = True
+            failures = failures + 1 if failed else 0
+            # A single lost response is not an outage, so the first retry is
+            # not delayed.
+            if failures > 1:
+                await asyncio.sleep(self._retry_delay_s())
+
+    async def _read_page(self, name: str, begun_at: float) -> bool:
+        """Read a feed once, apply what it returns, and pause.
+
+        :return: whether the store responded.
+        """
+        feed = self.feeds[name]
+        self.board.count('feed_reads')
+        wait_s = self._choose_wait_s(feed, begun_at)
+        match await self._read_once(name, begun_at, wait_s):
+            case result.Success(page):
+                is_early = (
+                    not page.complete
+                    and page.answered_at - begun_at < wait_s / 2
+                )
+                await asyncio.sleep(self._handle_read(name, page, is_early))
+                return True
+            case result.Failure(error):
+                feed.reading = False
+                self.relay.unreadable.add(name)
+                self.store_contact.read_failed(
+                    name, begun_at + wait_s, self.loop.time(), error.message
+                )
+        return False
+
+    def _record_fault(self, error: Exception, step: str) -> None:
+        """Record an unexpected exception; the next step is taken as usual."""
+        self.board.count('program_faults')
+        logs.fault('feeds not updated', error, step=step)
 
     def _choose_wait_s(
         self, feed: followed_feeds.FollowedFeed, now: float
@@ -416,12 +437,9 @@
             # Every gateway reads these records. An unexpected one must not
             # end them all, each time they start.
             self.board.count('program_faults')
-            logs.LOGGER.error(
+            logs.fault(
                 'changes could not be applied',
-                extra={
-                    'feed': name,
-                    'through': changes.through.offset,
-                    # A text may quote a record, and with it keys.
-                    'trace': logs.trace_without_texts(error),
-                },
+                error,
+                feed=name,
+                through=changes.through.offset,
             )
--- a/packages/entry/src/dragonflyslip_entry/gateway/peer_network.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/peer_network.py
@@ -102,9 +102,9 @@
 
         :return: False if it was not accepted: the name is unknown, the
             gateway could not be reached a moment ago, too many links or bytes
-            are in use, or it is longer than ``MAX_LINK_UNSENT_BYTES``. True
-            does not mean that it arrives; until the link is open, it waits.
-        :raises WireError: if the message cannot be encoded.
+            are in use, or it cannot be encoded or is longer than
+            ``MAX_LINK_UNSENT_BYTES``. True does not mean that it arrives;
+            until the link is open, it waits.
         """
         now = self.loop.time()
         peer = self._find_peer(name)
@@ -113,7 +113,9 @@
         link = peer.best_link
         if link is None and not self._begin_opening(peer, now):
             return False
-        frame = wire.encode_frame(message)
+        frame = self._encode(message)
+        if frame is None:
+            return False
         if link is not None:
             return self._transmit(link, frame, now)
         if not self._has_room(peer.waiting_bytes, len(frame)):
@@ -122,6 +124,24 @@
         self._max_unsent_bytes += len(frame)
         return True
 
+    def _encode(self, message: wire.Message) -> bytes | None:
+        """Return a message as a frame, None if a value is out of bounds.
+
+        The values come from records that all gateways read, so an exception
+        would end the senders of all of them.
+        """
+        try:
+            return wire.encode_frame(message)
+        except wire.WireError as error:
+            self.board.count('peer_messages_invalid')
+            logs.fault(
+                'message not sent',
+                error,
+                type=type(message).__name__,
+                reason=error.message,
+            )
+            return None
+
     def accept(self, link: peer_links.PeerLink, message: wire.Hello) -> bool:
         """Take a link that another gateway has opened, or refuse it.
 
@@ -408,8 +428,9 @@
         except Exception as error:
             # A message of one gateway must not end the link, nor this one.
             self.board.count('program_faults')
-            logs.LOGGER.error(
+            logs.fault(
                 'message could not be handled',
-                exc_info=error,
-                extra={'type': type(message).__name__, 'sender': str(sender)},
+                error,
+                type=type(message).__name__,
+                sender=str(sender),
             )
--- a/packages/entry/src/dragonflyslip_entry/gateway/quotas/controller.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/quotas/controller.py
@@ -13,6 +13,7 @@
 from dragonflyslip_entry.gateway import error_responses
 from dragonflyslip_entry.gateway import peer_network
 from dragonflyslip_entry.gateway.quotas import statistics
+from dragonflyslip_entry import logs
 
 TICK_S = 0.05
 # Longest time that a request waits for a grant. A wait costs its caller less
@@ -55,7 +56,12 @@
         """Send asks that are due until cancelled."""
         while True:
             await asyncio.sleep(TICK_S)
-            self._tick()
+            try:
+                self._tick()
+            except Exception as error:
+                # Every gateway has the same accounts, and would end as well.
+                self.board.count('program_faults')
+                logs.fault('quotas not updated', error)
 
     async def limit(
         self, call: calls.Call
--- a/packages/entry/src/dragonflyslip_entry/gateway/renewals.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/renewals.py
@@ -56,4 +56,4 @@
         except Exception as error:
             # The records of the other owners are written all the same.
             self.board.count('program_faults')
-            logs.LOGGER.error('records not written again', exc_info=error)
+            logs.fault('records not written again', error)
--- a/packages/entry/src/dragonflyslip_entry/gateway/rollouts/controller.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/rollouts/controller.py
@@ -174,7 +174,7 @@
             function(argument)
         except Exception as error:
             self.board.count('program_faults')
-            logs.LOGGER.error('rollout not updated', exc_info=error)
+            logs.fault('rollout not updated', error)
 
     def _decode(
         self, record: feeds.FeedRecord
@@ -309,7 +309,7 @@
                     )
         except Exception as error:
             self.board.count('program_faults')
-            logs.LOGGER.error('rollout not decided', exc_info=error)
+            logs.fault('rollout not decided', error)
         finally:
             running.appending = None
 
--- a/packages/entry/src/dragonflyslip_entry/gateway/rollouts/decision_records.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/rollouts/decision_records.py
@@ -8,13 +8,16 @@
 import msgspec
 
 from dragonflyslip_core import feeds
+from dragonflyslip_core import names
 from dragonflyslip_core import rollouts
 
 # Begins the keys of decisions; names of gateways do not contain a slash.
 KEY_PREFIX = 'rollout/'
 
-_Text = typing.Annotated[str, msgspec.Meta(max_length=300)]
-_Name = typing.Annotated[str, msgspec.Meta(min_length=1, max_length=300)]
+_Text = typing.Annotated[str, msgspec.Meta(max_length=names.MAX_TEXT_LENGTH)]
+_Name = typing.Annotated[
+    str, msgspec.Meta(min_length=1, max_length=names.MAX_TEXT_LENGTH)
+]
 _Count = typing.Annotated[int, msgspec.Meta(ge=0, le=2**53)]
 _Seconds = typing.Annotated[float, msgspec.Meta(ge=0.0, le=1e9)]
 
--- a/packages/entry/src/dragonflyslip_entry/gateway/rollouts/statuses.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/rollouts/statuses.py
@@ -109,7 +109,7 @@
                 await asyncio.sleep(random.uniform(RETRY_MIN_S, RETRY_MAX_S))
         except Exception as error:
             self.board.count('program_faults')
-            logs.LOGGER.error('status not written', exc_info=error)
+            logs.fault('status not written', error)
         if self._publishing.get(published.status.service) == published:
             del self._publishing[published.status.service]
 
--- a/packages/entry/src/dragonflyslip_entry/logs.py
+++ b/packages/entry/src/dragonflyslip_entry/logs.py
@@ -18,6 +18,11 @@
 # Request lines beyond this rate are dropped and counted.
 REQUEST_LINES_PER_S = 200
 SUMMARY_INTERVAL_S = 5.0
+# The same unexpected exception is logged once in this time: a task that goes
+# on may raise it some times a second.
+FAULT_INTERVAL_S = 60.0
+# Different exceptions whose last line is remembered.
+MAX_REMEMBERED_FAULTS = 100
 # Errors of one chain whose tracebacks are logged.
 MAX_CHAINED_ERRORS = 4
 
@@ -82,7 +87,28 @@
         return True
 
 
+class _FaultLineLimiter:
+    """Limits how often the same unexpected exception is logged."""
+
+    def __init__(self):
+        self.logged_at: dict[str, float] = {}
+
+    def allow(self, fault: str, now: float) -> bool:
+        """Return whether to log a fault.
+
+        :param now: Unix seconds.
+        """
+        logged_at = self.logged_at.get(fault)
+        if logged_at is not None and now - logged_at < FAULT_INTERVAL_S:
+            return False
+        if len(self.logged_at) >= MAX_REMEMBERED_FAULTS:
+            self.logged_at.clear()
+        self.logged_at[fault] = now
+        return True
+
+
 _request_limiter = _RequestLineLimiter()
+_fault_limiter = _FaultLineLimiter()
 
 
 def configure(level: str, entry_name: str) -> None:
@@ -128,6 +154,20 @@
         LOGGER.handle(record)
 
 
+def fault(message: str, error: BaseException, **fields: object) -> None:
+    """Log an unexpected exception after which the process goes on.
+
+    :param fields: JSON members added to the line.
+    """
+    trace = trace_without_texts(error)
+    extra = {**fields, 'trace': trace}
+    record = LOGGER.makeRecord(
+        LOGGER.name, logging.ERROR, '', 0, message, (), None, extra=extra
+    )
+    if _fault_limiter.allow(f'{message}\n{trace}', record.created):
+        LOGGER.handle(record)
+
+
 def trace_without_texts(error: BaseException) -> str:
     """Return the traceback of an error, of whose texts only types are shown.
 
--- a/packages/entry/tests/test_logs.py
+++ b/packages/entry/tests/test_logs.py
@@ -79,6 +79,22 @@
         assert _read(reader) == b'line 0\nline 1\n'
 
 
+class TestFaults:
+    def test_same_fault_is_logged_once_and_another_one_too(
+        self, caplog, monkeypatch
+    ):
+        # Guards against a traceback for each turn of a task that goes on.
+        monkeypatch.setattr(logs, '_fault_limiter', logs._FaultLineLimiter())
+        caplog.set_level(logging.ERROR, logs.LOGGER.name)
+        for error in (KeyError('secret'), KeyError('x'), ValueError('y')):
+            logs.fault('step failed', error)
+        assert [record.trace for record in caplog.records] == [
+            'KeyError',
+            'ValueError',
+        ]
+        assert 'secret' not in caplog.text
+
+
 class TestRequestLines:
     def test_request_lines_beyond_the_rate_are_dropped_and_counted(
         self, monkeypatch
--- a/packages/entry/tests/test_peer_network.py
+++ b/packages/entry/tests/test_peer_network.py
@@ -6,6 +6,7 @@
 import pytest
 
 from dragonflyslip_core import membership
+from dragonflyslip_core import names
 from dragonflyslip_entry.gateway import board as board_types
 from dragonflyslip_entry.gateway import entry_records
 from dragonflyslip_entry.gateway import network_peers
@@ -135,6 +136,16 @@
         assert b.send('a') and a.network.send('b', wire.ConfigPull(1))
         await until(lambda: a.received and b.count['peer_unknown_messages'])
 
+    async def test_message_out_of_bounds_is_refused(self, pair):
+        # Guards against an exception that ends the task of the sender, for a
+        # text from a record that all gateways read.
+        a, b = pair
+        too_long = 'n' * (names.MAX_TEXT_LENGTH + 1)
+        assert not a.network.send('b', wire.FeedPull(too_long, None))
+        assert a.count['peer_messages_invalid'] == 1
+        assert a.send('b', 7)
+        await until(lambda: b.received == [(a.own_id, 7)])
+
     async def test_link_is_closed_when_idle_and_opened_again(self, pair):
         a, b = pair
         for number in (1, 2):
--- a/packages/wire/src/dragonflyslip_wire/fields.py
+++ b/packages/wire/src/dragonflyslip_wire/fields.py
@@ -3,10 +3,10 @@
 import math
 
 from dragonflyslip_core import membership
+from dragonflyslip_core import names
 from dragonflyslip_wire import errors
 
 UNKNOWN_AGE_MS = 0xFFFFFFFF
-_MAX_TEXT_CHARS = 256
 _MAX_DIGEST_BYTES = 64
 
 
@@ -25,9 +25,9 @@
     :param what: its name in the error.
     :raises MessageError: if it is too long.
     """
-    if len(value) > _MAX_TEXT_CHARS:
+    if len(value) > names.MAX_TEXT_LENGTH:
         raise errors.MessageError(
-            f'{what} is longer than {_MAX_TEXT_CHARS} characters'
+            f'{what} is longer than {names.MAX_TEXT_LENGTH} characters'
         )
     return value
 
--- a/packages/wire/tests/test_frames.py
+++ b/packages/wire/tests/test_frames.py
@@ -8,6 +8,7 @@
 
 from dragonflyslip_core import feeds
 from dragonflyslip_core import membership
+from dragonflyslip_core import names as core_names
 from dragonflyslip_core import rollouts
 from dragonflyslip_core import suspects
 from dragonflyslip_core import target_facts
@@ -336,7 +337,9 @@
             wire.ConfigPush(1, b'', b'', part=1, parts=1),
             wire.ConfigPush(1, b'd', b'x1y2z3w4' * 140_000),
             wire.ConfigPull(-1),
-            wire.Hello(membership.EntryId('n' * 257, 1)),
+            wire.Hello(
+                membership.EntryId('n' * (core_names.MAX_TEXT_LENGTH + 1), 1)
+            ),
             wire.Hello(membership.EntryId('\ud800', 1)),
             wire.Notice(
                 1, (target_facts.TargetFact('t', 'b', True, 2**16, 0),)
--- a/packages/wire/tests/test_quota_messages.py
+++ b/packages/wire/tests/test_quota_messages.py
@@ -4,9 +4,11 @@
 from hypothesis import strategies
 import pytest
 
+from dragonflyslip_core import names as core_names
 from dragonflyslip_core import quotas
 import dragonflyslip_wire as wire
 
+TOO_LONG = 'n' * (core_names.MAX_TEXT_LENGTH + 1)
 names = strategies.text(
     strategies.characters(exclude_categories=['Cs']), min_size=1, max_size=40
 )
@@ -81,7 +83,7 @@
             quotas.QuotaAsk(0, 1, 1, (quotas.AccountAsk('', 1),)),
             quotas.QuotaAsk(0, 1, 1, (quotas.AccountAsk('a', 2**32),)),
             quotas.QuotaGrant(0, 1, 2**64),
-            quotas.QuotaGrant(0, 1, 1, (quotas.AccountGrant('n' * 257, 1),)),
+            quotas.QuotaGrant(0, 1, 1, (quotas.AccountGrant(TOO_LONG, 1),)),
         ],
     )
     def test_message_out_of_bounds_is_not_sent(self, message):
--- a/tests/adapter/test_quotas.py
+++ b/tests/adapter/test_quotas.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from dragonflyslip_core import names
 from dragonflyslip_core import quotas
 from dragonflyslip_core.quotas import holdings
 from dragonflyslip_entry.gateway.quotas import statistics
@@ -16,10 +17,10 @@
 BURST = 10
 
 
-def _tenants(rate=RATE):
+def _tenants(rate=RATE, name='north'):
     return [
         {
-            'name': 'north',
+            'name': name,
             'api_keys': [KEY],
             'rate_per_s': rate,
             'burst': BURST,
@@ -35,12 +36,13 @@
 class _Fleet:
     """Four gateways, and callers that send to all of them in turn."""
 
-    def __init__(self, platform):
+    def __init__(self, platform, account='north'):
         self.platform = platform
+        self.account = account
         self.gateways = []
 
     async def start(self):
-        self.platform.tenants = _tenants()
+        self.platform.tenants = _tenants(name=self.account)
         await self.platform.publish()
         await self.platform.add_target(slots=50, work_s=0.001)
         await self.platform.start()
@@ -50,7 +52,7 @@
         await self.platform.until(
             lambda: all(len(g.network.gateways) == 4 for g in self.gateways)
         )
-        shard = quotas.shard_of('north')
+        shard = quotas.shard_of(self.account)
         await self.platform.until(
             lambda: all(
                 shard in g.quotas.limiter.lenders
@@ -62,7 +64,7 @@
 
     def owner(self):
         names = [g.options.name for g in self.gateways]
-        shard = quotas.shard_of('north')
+        shard = quotas.shard_of(self.account)
         name = quotas.rank_owners(shard, names)[0]
         return next(g for g in self.gateways if g.options.name == name)
 
@@ -135,7 +137,39 @@
         assert controller.limiter.tokens_held('north', controller.clock()) == 1
 
 
+class TestNames:
+    @pytest.mark.parametrize('length', [257, names.MAX_TEXT_LENGTH])
+    async def test_account_with_a_long_name_is_served(self, platform, length):
+        # Guards against a name that the manifest may state and that no
+        # message carries: its error ended each gateway that asks for tokens.
+        fleet = _Fleet(platform, 'n' * length)
+        await fleet.start()
+        statuses = await fleet.load(rate=20, seconds=1)
+        assert statuses[200] >= 18
+        assert not any(task.done() for task in platform.tasks.values())
+        assert not any(
+            g.board.counters['program_faults'] for g in fleet.gateways
+        )
+
+
 class TestFaults:
+    async def test_failing_step_ends_no_gateway(self, fleet):
+        # Guards against an exception for one account that ends the task, and
+        # with it each gateway, since all have the same accounts.
+        def fail(now):
+            raise KeyError('unexpected')
+
+        for gateway in fleet.gateways:
+            gateway.quotas.limiter.due_asks = fail
+        await fleet.platform.until(
+            lambda: all(
+                g.board.counters['program_faults'] > 1 for g in fleet.gateways
+            )
+        )
+        assert not any(task.done() for task in fleet.platform.tasks.values())
+        statuses = await fleet.load(rate=20, seconds=0.5, key=FREE_KEY)
+        assert set(statuses) == {200}
+
     async def test_owner_is_killed(self, fleet):
         owner = fleet.owner()
         others = [g for g in fleet.gateways if g is not owner]
--- a/tests/test_fuzz_parsers.py
+++ b/tests/test_fuzz_parsers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import operator
 import random
 
 import pytest
@@ -182,15 +183,34 @@
         await platform.publish()
         await platform.until(lambda: board.manifest.version == 3)
 
-    async def test_failed_maintenance_ends_no_gateway(self, platform):
+    @pytest.mark.parametrize(
+        'owner, step',
+        [
+            ('topology', 'expire'),
+            ('feeds.registry', 'expire'),
+            ('feeds.relay', 'update'),
+            ('feeds.store_contact', 'responded'),
+            ('quotas', '_apply_manifest'),
+            ('rollouts.orders', 'expire'),
+        ],
+    )
+    async def test_failing_step_of_a_task_ends_no_gateway(
+        self, platform, owner, step
+    ):
+        # Guards against an exception for one record, message or peer that
+        # ends a task, and with it each gateway that has the same state.
         await platform.add_target()
         await platform.publish()
         await platform.start()
 
-        def fail() -> None:
+        def fail(*arguments, **options) -> None:
             raise KeyError('unexpected')
 
-        platform.gateway.topology.expire = fail
-        counters = platform.gateway.board.counters
+        gateway = platform.gateway
+        setattr(operator.attrgetter(owner)(gateway), step, fail)
+        counters = gateway.board.counters
+        # Steps of rollouts are taken for each service that has had one.
+        gateway.rollouts.known['casebook'] = None
+        await platform.publish()
         await platform.until(lambda: counters['program_faults'] >= 2)
         await _assert_serves(platform)
