Give a lost response of the store up although others arrive

The response to one of its reads was lost, and the store responded to all others.

Cause: each byte of another read moved the deadline of the lost one by 0.4 s, up to 5 s, as its response might be queued behind them on a slow link. On the new tests show it by the check-ins beside the lost response: one each 0.4 s, or none, and the change is in force in time; one each 0.09, 0.05 or 0.02 s, and it is late by 5.9 to 6.0 s. That rules out a late next read and a page that is not applied.

Change: bytes that arrive after a read was due move its deadline by the time that the slowest link borne needs for them. A response that was asked for after the read was due shows that it is not queued; the read then ends 0.2 s later, and not before its 0.4 s. Appends get 2 s more, which they may wait in the store.

Two calls in test_transfers now name their bytes, those of a link of 5 Mbit/s.

--- a/packages/core/tests/test_transfers.py
+++ b/packages/core/tests/test_transfers.py
@@ -39,16 +39,52 @@
         deadline = transfers.TransferDeadline(0.0)
         for step in range(1, 40):
             assert deadline.at > step * STEP_S
-            deadline.record_link_activity(step * STEP_S)
+            deadline.record_link_activity(
+                int(LINK_BYTES_PER_S * STEP_S), step * STEP_S
+            )
 
     def test_transfer_does_not_wait_for_others_without_end(self):
         deadline = transfers.TransferDeadline(0.0)
         for step in range(1_000):
-            deadline.record_link_activity(step * STEP_S)
+            deadline.record_link_activity(
+                int(LINK_BYTES_PER_S * STEP_S), step * STEP_S
+            )
         assert deadline.at <= (
             transfers.RESPONSE_TIMEOUT_S + transfers.MAX_QUEUED_S
         )
 
+    @pytest.mark.parametrize('wait_s', [0.0, 1.2])
+    def test_few_bytes_of_others_do_not_hold_a_lost_response(self, wait_s):
+        # Guards against a read whose response is lost, and which is waited
+        # for as long as short responses to other reads arrive.
+        deadline = transfers.TransferDeadline(0.0, wait_s)
+        now = 0.0
+        while now <= deadline.at:
+            now += STEP_S
+            deadline.record_link_activity(250, now)
+        assert now <= wait_s + transfers.RESPONSE_TIMEOUT_S + 0.2
+
+    @pytest.mark.parametrize('process_s', [0.0, 2.0])
+    def test_response_to_a_later_request_shows_the_loss(self, process_s):
+        # Guards against a lost response that is taken for queued because
+        # other responses use the link all the time.
+        deadline = transfers.TransferDeadline(0.0, 1.2, process_s)
+        for step in range(1, 100):
+            now = step * STEP_S
+            deadline.record_overtaken(now - 0.05, now)
+            deadline.record_link_activity(LINK_BYTES_PER_S, now)
+        assert deadline.at == pytest.approx(
+            1.2 + transfers.RESPONSE_TIMEOUT_S + process_s
+        )
+
+    def test_response_to_an_earlier_request_shows_nothing(self):
+        # Guards against a response that is given up although it is queued
+        # behind a longer one.
+        deadline = transfers.TransferDeadline(0.0, 1.2)
+        deadline.record_overtaken(1.1, 1.3)
+        deadline.record_link_activity(LINK_BYTES_PER_S, 1.5)
+        assert deadline.at > 1.2 + transfers.RESPONSE_TIMEOUT_S
+
     def test_body_of_unknown_end_has_the_time_of_the_response(self):
         deadline = transfers.TransferDeadline(0.0)
         deadline.record_bytes(100_000, 0.3)
--- a/packages/testing/src/dragonflyslip_testing/relay.py
+++ b/packages/testing/src/dragonflyslip_testing/relay.py
@@ -70,11 +70,13 @@
 
     :param blackholed: whether bytes and the end of the connection are no
         longer forwarded.
+    :param request: the bytes that last came from the caller.
     """
 
     caller: asyncio.StreamWriter
     target: asyncio.StreamWriter
     blackholed: bool = False
+    request: bytes = b''
 
 
 class Relay:
@@ -87,6 +89,8 @@
     :ivar blackholed_count: number of connections that ``blackhole`` has
         affected.
     :ivar delay_s: delay of all bytes in seconds, in both directions.
+    :ivar lost_responses: texts of requests. For each, the next response to
+        such a request is lost, and its connection silent from then on.
     :ivar drops_requests: whether bytes from callers are dropped.
     :ivar drops_responses: whether bytes from the target are dropped.
     """
@@ -98,6 +102,7 @@
         self.response_limit = response_limit
         self.blackholed_count = 0
         self.delay_s = 0.0
+        self.lost_responses: list[bytes] = []
         self.drops_requests = False
         self.drops_responses = False
         # Also holds blackholed connections: a writer that is garbage-collected
@@ -179,6 +184,11 @@
     ) -> None:
         with contextlib.suppress(OSError):
             while data := await reader.read(self._chunk_bytes):
+                if writer is connection.target:
+                    connection.request = data
+                elif self._loses_response(connection):
+                    connection.blackholed = True
+                    self.blackholed_count += 1
                 await self._wait_for_rate(connection, writer, len(data))
                 if self.delay_s > 0.0:
                     await asyncio.sleep(self.delay_s)
@@ -190,6 +200,13 @@
         if not connection.blackholed:
             writer.close()
 
+    def _loses_response(self, connection: _RelayedConnection) -> bool:
+        for text in self.lost_responses:
+            if text in connection.request:
+                self.lost_responses.remove(text)
+                return True
+        return False
+
     def _is_dropped(
         self, connection: _RelayedConnection, writer: asyncio.StreamWriter
     ) -> bool:
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -865,6 +865,20 @@
         '                return result.Failure(errors.StoreError("gone"))',
         f'{_TOPOLOGY_TESTS}::TestOutages',
     ),
+    Mutation(
+        'lost-read-held-by-few-bytes',
+        f'{_CORE}/transfers.py',
+        'latest_at, self.due_at + RESPONSE_TIMEOUT_S + queued_s',
+        'latest_at, latest_at',
+        'packages/core/tests/test_transfers.py::TestResponse',
+    ),
+    Mutation(
+        'lost-read-held-by-later-responses',
+        f'{_ADAPTER}/store_connections.py',
+        'other.deadline.record_overtaken(self.requested_at, now)',
+        'pass',
+        'tests/adapter/test_lost_responses.py',
+    ),
     Mutation(
         'gateway-fixed-read-time',
         f'{_CORE}/transfers.py',
