Move the log lines of requests to a module of their own

It lists the steps that a request takes; what is logged and counted at its end is now in gateway/request_log.py. Nothing else changes: the tests of logs, stops and refusals pass.

--- a/packages/entry/src/dragonflyslip_entry/gateway/handling.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/handling.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import itertools
 import math
 import typing
 
@@ -24,6 +23,7 @@
 from dragonflyslip_entry.gateway import probing
 from dragonflyslip_entry.gateway import quotas
 from dragonflyslip_entry.gateway import repeating
+from dragonflyslip_entry.gateway import request_log
 from dragonflyslip_entry.gateway import request_matching
 from dragonflyslip_entry.gateway import responses
 from dragonflyslip_entry.gateway import sending
@@ -34,8 +34,6 @@
 # A send that fails before a byte is written costs the target nothing and is
 # not counted in the route's max_attempts; this limits such sends per request.
 MAX_UNWRITTEN_SENDS = 4
-# Lines about single requests that the process logs when it cuts them.
-MAX_CUT_LINES = 50
 # Reasons of error responses to callers that may still send a long body.
 _CLOSING_REASONS = ('body-too-large', 'body-memory')
 _CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
@@ -74,7 +72,7 @@
             board, dialect, self.authenticator
         )
         self.dialect = dialect
-        self.metrics = gateway_metrics
+        self.log = request_log.RequestLog(gateway_metrics, self.versions)
         self.loop = asyncio.get_running_loop()
         self.busy: set[typing.Any] = set()
         self.forward_until = math.inf
@@ -116,18 +114,7 @@
 
     def log_cut_requests(self) -> None:
         """Log the requests that the end of the process leaves unanswered."""
-        if not self.in_flight:
-            return
-        now = self.loop.time()
-        for call in itertools.islice(self.unfinished, MAX_CUT_LINES):
-            logs.info(
-                'request cut',
-                request=call.request_id,
-                route=call.route.name,
-                targets=call.sent_to,
-                ms=round((now - call.arrived_at) * 1000, 1),
-            )
-        logs.info('requests cut', in_flight=self.in_flight)
+        self.log.cut(self.unfinished, self.in_flight, self.loop.time())
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         now = self.loop.time()
@@ -135,15 +122,11 @@
             request, now, self.forward_until, self.stop_at
         )
         if isinstance(call, error_responses.ErrorResponse):
-            self.metrics.request_ended('', call.status, 0.0)
-            metadata = self.dialect.parse_request(request.headers)
-            logs.request(
-                'request refused',
-                request=metadata.request_id,
-                status=call.status,
-                reason=call.reason,
-                manifest=self._manifest_version(),
-                **_refused_caller(request, call),
+            self.log.refused(
+                self.dialect.parse_request(request.headers).request_id,
+                call,
+                self._manifest_version(),
+                request.remote,
             )
             response = self.responder.error(request, call)
             if call.status in (413, 431):
@@ -428,46 +411,7 @@
     def _log_result(
         self, call: calls.Call, event: str, status: int | None
     ) -> None:
-        elapsed_s = self.loop.time() - call.arrived_at
-        self.metrics.request_ended(call.service.name, status or 0, elapsed_s)
-        logs.request(
-            event,
-            request=call.request_id,
-            route=call.route.name,
-            service=call.service.name,
-            manifest=call.version,
-            targets=call.sent_to,
-            **self._version_fields(call),
-            status=status,
-            reason=call.reason,
-            ms=round(elapsed_s * 1000, 1),
-            **self._stop_fields(call),
-        )
-
-    def _stop_fields(self, call: calls.Call) -> dict[str, float]:
-        """Return what a stop left for the request when it arrived."""
-        if math.isinf(self.stop_at):
-            return {}
-        left_s = self.stop_at - call.arrived_at
-        needed_s = call.response_times.needed_s(call.route.target_latency_s)
-        return {
-            'stop_left_ms': round(left_s * 1000, 1),
-            'needed_ms': round(needed_s * 1000, 1),
-        }
-
-    def _version_fields(self, call: calls.Call) -> dict[str, list[str]]:
-        """Return the versions of the targets if a service has several."""
-        versions = self.versions.versions_of(call.service.name, call.sent_to)
-        return {} if versions is None else {'versions': versions}
-
-
-def _refused_caller(
-    request: web.BaseRequest, refusal: error_responses.ErrorResponse
-) -> dict[str, str | None]:
-    """Return log fields by which operators find whose key is refused."""
-    if refusal.status != 401:
-        return {}
-    return {'route': refusal.route, 'caller': request.remote}
+        self.log.ended(call, event, status, self.stop_at, self.loop.time())
 
 
 def _expects_continue(request: web.BaseRequest) -> bool:
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -641,7 +641,7 @@
         'tests/adapter/test_late_requests.py',
     ),
     Mutation(
-        'request-passed-on-after-the-line',
+        'request-passed-on-late-in-a-stop',
         f'{_ENTRY}/drain.py',
         '+ min(MAX_FORWARD_S, FORWARD_FRACTION * stop_timeout_s),',
         '+ stop_timeout_s,',
