--- a/packages/entry/src/dragonflyslip_entry/gateway/crash_records.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/crash_records.py
@@ -16,6 +16,7 @@
 from dragonflyslip_core import request_identity
 from dragonflyslip_entry import flag_settings
 from dragonflyslip_entry.gateway import adapters
+from dragonflyslip_entry import logs
 
 # Begins the keys of crashes; names of gateways do not contain a slash.
 KEY_PREFIX = 'crash/'
@@ -138,6 +139,11 @@
                 outcome = await self.log.append(
                     self.feed, encode_key(write.crash), write.value
                 )
+            except Exception as error:
+                # The other records are written all the same.
+                logs.fault('crash record not written', error)
+                self.on_drop()
+                continue
             finally:
                 self._keys_in_flight.discard(key)
             if not isinstance(outcome, result.Success):
--- a/packages/entry/tests/test_crash_records.py
+++ b/packages/entry/tests/test_crash_records.py
@@ -91,6 +91,25 @@
         await writer.close(1.0)
         assert [value for _, value in log.appended] == [b'value']
 
+    async def test_unexpected_exception_loses_one_record(self, log, writer):
+        # Guards against a writer that ends, so that the records behind the
+        # one at fault wait until there is another crash.
+        append, faults = log.append, [KeyError('unexpected')]
+
+        async def fail_once(feed, key, value):
+            if faults:
+                raise faults.pop()
+            return await append(feed, key, value)
+
+        log.append = fail_once
+        log.open.set()
+        count = 2 * crash_records.MAX_CONCURRENT_WRITES
+        for number in range(count):
+            writer.put(crash(number), b'value')
+        await asyncio.sleep(0.01)
+        assert len(log.appended) == count - 1
+        assert writer.drops == [1]
+
     async def test_deepest_crashes_are_written_first(
         self, log, writer, monkeypatch
     ):
