Let the soak lose single responses, send ahead and use long names

Odd seeds now lose the response with a manifest at one gateway, while a target of another service checks in every 50 ms; four callers keep two requests on their way on each connection; routes have names of the greatest length.

Work of several target latencies in a stop is still not part of the soak.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -11,6 +11,11 @@
 from tests.soak import history as history_types
 
 CALLER_COUNT = 32
+# Callers that send requests before the earlier ones are answered.
+SEND_AHEAD_COUNT = 4
+OUTSTANDING_REQUESTS = 2
+# Pause of such a caller after a request that was not served.
+REFUSED_PAUSE_S = 0.02
 # Relative frequency of the kinds of requests.
 KIND_WEIGHTS = {'safe': 5, 'unsafe': 1, 'upload': 1, 'download': 1}
 MAX_ATTEMPTS = 3
@@ -174,9 +179,46 @@
         async with asyncio.TaskGroup() as group:
             for number in range(CALLER_COUNT):
                 group.create_task(self._run_caller(number))
+            for number in range(SEND_AHEAD_COUNT):
+                group.create_task(self._run_ahead(number))
 
     async def _run_caller(self, number: int) -> None:
         caller = Caller(self.cluster, number)
         while not self.stopping:
             await caller.make_call()
         caller.close()
+
+    async def _run_ahead(self, number: int) -> None:
+        """Keep several requests on their way on one connection."""
+        rng = random.Random(f'{self.cluster.seed}/ahead/{number}')
+        while not self.stopping:
+            gateway = rng.choice(self.cluster.gateways)
+            try:
+                connection = await connections.CallerConnection.open(
+                    gateway.ports[0]
+                )
+            except OSError:
+                await asyncio.sleep(REFUSED_PAUSE_S)
+                continue
+            await asyncio.gather(
+                *(
+                    self._send_ahead(gateway, connection)
+                    for _ in range(OUTSTANDING_REQUESTS)
+                )
+            )
+            connection.close()
+
+    async def _send_ahead(
+        self,
+        gateway: gateways.Gateway,
+        connection: connections.CallerConnection,
+    ) -> None:
+        while not self.stopping and connection.is_open:
+            attempt = self.cluster.new_attempt(
+                gateway, 'safe', b'', SMALL_RESPONSE_BYTES[0]
+            )
+            await connection.exchange(
+                attempt, cluster.HOST, connections.Pace()
+            )
+            if attempt.status != 200:
+                await asyncio.sleep(REFUSED_PAUSE_S)
--- a/tests/soak/cluster.py
+++ b/tests/soak/cluster.py
@@ -5,6 +5,7 @@
 import random
 import signal
 
+from dragonflyslip_core import names
 import dragonflyslip_emulator as emulator
 from dragonflyslip_emulator import guarantees
 from dragonflyslip_emulator import store as store_types
@@ -120,7 +121,7 @@
                 'version': version,
                 'routes': [
                     {
-                        'name': kind,
+                        'name': kind.ljust(names.MAX_TEXT_LENGTH, '-'),
                         'host': HOST,
                         'path_prefix': f'/{kind}/',
                         'type': kind,
--- a/tests/soak/connections.py
+++ b/tests/soak/connections.py
@@ -31,7 +31,10 @@
 
 
 class CallerConnection:
-    """A connection to a gateway that is kept for several requests."""
+    """A connection to a gateway that is kept for several requests.
+
+    Several may be on their way; responses arrive in the order of requests.
+    """
 
     def __init__(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -39,6 +42,7 @@
         self.reader = reader
         self.writer = writer
         self.reusable = True
+        self._receiving = asyncio.Lock()
 
     @classmethod
     async def open(cls, port: int) -> 'CallerConnection':
@@ -68,8 +72,12 @@
         loop = asyncio.get_running_loop()
         limit_s = attempt.caller_timeout_s + _TIMEOUT_MARGIN_S
         sending = asyncio.create_task(self._send(attempt, host, pace))
+        attempt.sent_behind = self._receiving.locked()
         try:
-            async with asyncio.timeout_at(attempt.sent_at + limit_s):
+            async with (
+                asyncio.timeout_at(attempt.sent_at + limit_s),
+                self._receiving,
+            ):
                 await self._receive(attempt, pace)
         except (*_FAILURES, TimeoutError):
             self.reusable = False
--- a/tests/soak/lost_requests.py
+++ b/tests/soak/lost_requests.py
@@ -71,6 +71,8 @@
             _reached_timeout(attempt)
             or any(run.broke_off for run in runs)
             or (not runs and self._was_absent(attempt))
+            # The response before it may have closed the connection.
+            or (not runs and attempt.sent_behind and attempt.status == 0)
             or self._had_unplanned_fault(attempt, runs)
             or (stop is not None and _outlasted_stop(attempt, runs, stop))
         )
--- a/tests/soak/plans.py
+++ b/tests/soak/plans.py
@@ -14,6 +14,9 @@
 # A further fault of the plans of even seeds, likewise.
 CRASH_FAULT = 'send_crashing_request'
 CRASH_AT_S = 0.5
+# A further fault of the plans of odd seeds, likewise.
+LOSS_FAULT = 'lose_store_response'
+LOSS_AT_S = 0.5
 # How often each fault is chosen, relative to the others.
 WEIGHTS = {
     'pause': 1,
@@ -58,7 +61,8 @@
 
     Each plan starts with a series of stops, half of them with targets that do
     not answer. In its last second a target begins to state a limit. If the
-    seed is even, a request crashes the targets that run it.
+    seed is even, a request crashes the targets that run it, else a response
+    of the store is lost.
 
     :param seconds: how long faults are injected.
     """
@@ -77,4 +81,6 @@
     plan.append(PlannedFault(limit_at_s, LIMIT_FAULT, f'{seed}/limit'))
     if seed % 2 == 0:
         plan.append(PlannedFault(CRASH_AT_S, CRASH_FAULT, f'{seed}/crash'))
+    else:
+        plan.append(PlannedFault(LOSS_AT_S, LOSS_FAULT, f'{seed}/loss'))
     return sorted(plan, key=lambda fault: fault.at_s)
--- a/tests/soak/store_faults.py
+++ b/tests/soak/store_faults.py
@@ -3,13 +3,20 @@
 import asyncio
 import random
 
+import dragonflyslip_emulator as emulator
 from dragonflyslip_emulator import store as store_types
 from tests.soak import checks
 from tests.soak import faults
 from tests.soak import gateways
 from tests.soak import history as history_types
+from tests.soak import plans
 
 _STORE = history_types.FaultKind.STORE
+_OPERATOR_READ = b'topic=' + store_types.OPERATOR_TOPIC.encode()
+_SPARE_SERVICE = 'spare'
+# Longer than a gateway may be late, and what excuses it after a fault.
+CHECK_IN_S = 7.0
+CHECK_IN_PAUSE_S = 0.05
 
 
 class StoreFaults:
@@ -23,6 +30,7 @@
         'compact_store',
         'publish_manifests',
         'evacuate',
+        plans.LOSS_FAULT,
     )
 
     def __init__(self, scope: faults.FaultScope):
@@ -60,6 +68,40 @@
             await asyncio.sleep(rng.uniform(0.3, 3.0))
             self.cluster.store.fault = store_types.StoreFault.NONE
 
+    async def lose_store_response(self, rng: random.Random) -> None:
+        """Lose the response with a manifest to a gateway that reads it.
+
+        A target of another service checks in all the time, so that other
+        responses arrive meanwhile.
+        """
+        spare = emulator.EmulatedTarget(_SPARE_SERVICE)
+        await spare.start()
+        try:
+            lost_at = None
+            until = self.cluster.now() + CHECK_IN_S
+            for gateway in self.cluster.gateways:
+                gateway.relay.lost_responses = [_OPERATOR_READ]
+            await self.cluster.publish_manifest(rng)
+            while self.cluster.now() < until:
+                await spare.register(self.cluster.store)
+                await asyncio.sleep(CHECK_IN_PAUSE_S)
+                if lost_at is None:
+                    lost_at = self._find_loss()
+        finally:
+            for gateway in self.cluster.gateways:
+                gateway.relay.lost_responses = []
+            await spare.close()
+
+    def _find_loss(self) -> float | None:
+        """Return the time if a gateway has lost a response, else None."""
+        for gateway in self.cluster.gateways:
+            if not gateway.relay.lost_responses:
+                for other in self.cluster.gateways:
+                    other.relay.lost_responses = []
+                with self.scope.record(gateway.name, _STORE):
+                    return self.cluster.now()
+        return None
+
     async def compact_store(self, rng: random.Random) -> None:
         """Compact all topics of the store."""
         for topic in list(self.cluster.store.topics):
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -32,7 +32,12 @@
         )
         names = [name for group in groups for name in group.NAMES]
 
-        planned = [*plans.WEIGHTS, plans.LIMIT_FAULT, plans.CRASH_FAULT]
+        planned = [
+            *plans.WEIGHTS,
+            plans.LIMIT_FAULT,
+            plans.CRASH_FAULT,
+            plans.LOSS_FAULT,
+        ]
         assert sorted(names) == sorted(planned)
 
 
