Test the check of a late request at its write

The mutation late-body-passed-on survived, on too: in the test that it names, a check before the choice of a target refuses the request. A new test lets the probe of the target take the time that is left; the mutation fails it.

--- a/tests/adapter/test_late_requests.py
+++ b/tests/adapter/test_late_requests.py
@@ -9,6 +9,8 @@
 
 import pytest
 
+from dragonflyslip_entry.gateway import daemon
+from dragonflyslip_testing import relay as network
 from tests.adapter import callers
 
 STOP_TIMEOUT_S = 3.0
@@ -19,6 +21,8 @@
 LONG_STOP_TIMEOUT_S = 4.0
 # Requests after which a gateway knows how long the work takes.
 LEARNED_FROM = 20
+# Takes a request's time below two target latencies.
+SLOW_PROBE_S = 0.6
 _BODY = b'0123456789'
 
 
@@ -81,6 +85,34 @@
         assert (await caller.receive()).status == 503
         assert platform.runs() == []
 
+    async def test_request_that_waited_for_a_target_is_not_passed_on(
+        self, platform, monkeypatch
+    ):
+        # Guards against a request that had enough time before its target
+        # answered the probe, and not at the write.
+        monkeypatch.setattr(daemon, 'ACCEPT_AFTER_STOP_S', STOP_TIMEOUT_S)
+        caller = await _start(platform)
+        (target,) = platform.targets
+        relay = network.Relay(target.port)
+        relay.delay_s = SLOW_PROBE_S / 2
+        server = await relay.listen(0)
+        platform.stack.callback(relay.close)
+        platform.stack.callback(server.close)
+        target.advertised_port = server.sockets[0].getsockname()[1]
+        await target.register(platform.store)
+        directory = platform.gateway.board.directory
+        await platform.until(
+            lambda: (
+                directory.targets[target.target_id].registration.port
+                == target.advertised_port
+            )
+        )
+        platform.gateway.stopping.set()
+        await asyncio.sleep(STOP_TIMEOUT_S - 2 * TARGET_LATENCY_S - 0.7)
+        caller.send(_request('GET', 1))
+        assert (await caller.receive()).status == 503
+        assert platform.runs() == []
+
     async def test_failed_request_is_not_repeated_late(self, platform):
         # Guards against a repeat that begins late in a stop and is cut.
         caller = await _start(platform, targets=2)
