Test that a stop refuses requests before it may not cut them

A new test of the schedule compares the time from which requests are refused with the 3 s of the platform's rule, for stop timeouts from 1 to 10 s.

--- a/tests/adapter/test_drain.py
+++ b/tests/adapter/test_drain.py
@@ -202,6 +202,17 @@
         )
         assert accepted_until_s <= lost_requests.LATEST_EXCUSED_SEND_S
 
+    @pytest.mark.parametrize('stop_timeout_s', [1.0, 3.0, 6.0, 10.0])
+    def test_later_request_is_refused(self, stop_timeout_s):
+        # Guards against a request that is passed on so late that its
+        # target's work may not be replaced by an error response.
+        schedule = drain.DrainSchedule.from_timeout(
+            0.0, stop_timeout_s, daemon.ACCEPT_AFTER_STOP_S, 0.3
+        )
+        assert schedule.close_idle_at < schedule.forward_until
+        assert schedule.forward_until < schedule.answer_at
+        assert schedule.forward_until < lost_requests.LATEST_EXCUSED_SEND_S
+
     def test_errors_are_sent_in_the_last_sixth_of_the_stop_timeout(self):
         # Guards against error responses while targets may still respond, and
         # against some that the end of the process overtakes.
