--- a/tests/soak/store_faults.py
+++ b/tests/soak/store_faults.py
@@ -77,7 +77,7 @@
         spare = emulator.EmulatedTarget(_SPARE_SERVICE)
         await spare.start()
         try:
-            lost_at = None
+            lost = False
             until = self.cluster.now() + CHECK_IN_S
             for gateway in self.cluster.gateways:
                 gateway.relay.lost_responses = [_OPERATOR_READ]
@@ -85,22 +85,30 @@
             while self.cluster.now() < until:
                 await spare.register(self.cluster.store)
                 await asyncio.sleep(CHECK_IN_PAUSE_S)
-                if lost_at is None:
-                    lost_at = self._find_loss()
+                lost = lost or self._record_loss()
         finally:
             for gateway in self.cluster.gateways:
                 gateway.relay.lost_responses = []
             await spare.close()
 
-    def _find_loss(self) -> float | None:
-        """Return the time if a gateway has lost a response, else None."""
+    def _record_loss(self) -> bool:
+        """Record the gateways that have lost a response; no more will.
+
+        :return: whether one has.
+        """
+        losers = [
+            gateway
+            for gateway in self.cluster.gateways
+            if not gateway.relay.lost_responses
+        ]
+        if not losers:
+            return False
         for gateway in self.cluster.gateways:
-            if not gateway.relay.lost_responses:
-                for other in self.cluster.gateways:
-                    other.relay.lost_responses = []
-                with self.scope.record(gateway.name, _STORE):
-                    return self.cluster.now()
-        return None
+            gateway.relay.lost_responses = []
+        for gateway in losers:
+            with self.scope.record(gateway.name, _STORE):
+                pass
+        return True
 
     async def compact_store(self, rng: random.Random) -> None:
         """Compact all topics of the store."""
