Restore the test of failed maintenance, and test a broken controller

The removed test is back as it was, the other one counts the calls of its own step, and the state is set for rollouts alone.

New: a controller that ends still stops the gateway; a manifest with a name one character above the bound leaves the old one in force.

--- a/tests/test_fuzz_parsers.py
+++ b/tests/test_fuzz_parsers.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from dragonflyslip_core import names
 import dragonflyslip_emulator as emulator
 from dragonflyslip_emulator import store as store_types
 from dragonflyslip_testing import ports
@@ -203,14 +204,61 @@
         await platform.publish()
         await platform.start()
 
+        failed = []
+
         def fail(*arguments, **options) -> None:
+            failed.append(step)
             raise KeyError('unexpected')
 
         gateway = platform.gateway
         setattr(operator.attrgetter(owner)(gateway), step, fail)
         counters = gateway.board.counters
-        # Steps of rollouts are taken for each service that has had one.
-        gateway.rollouts.known['casebook'] = None
+        if owner == 'rollouts.orders':
+            # Its step is taken for each service that has had a rollout.
+            gateway.rollouts.known['casebook'] = None
+        await platform.publish()
+        await platform.until(
+            lambda: len(failed) >= 2 and counters['program_faults'] >= 2
+        )
+        await _assert_serves(platform)
+
+    async def test_failed_maintenance_ends_no_gateway(self, platform):
+        await platform.add_target()
         await platform.publish()
+        await platform.start()
+
+        def fail() -> None:
+            raise KeyError('unexpected')
+
+        platform.gateway.topology.expire = fail
+        counters = platform.gateway.board.counters
         await platform.until(lambda: counters['program_faults'] >= 2)
         await _assert_serves(platform)
+
+    async def test_controller_that_ends_stops_the_gateway(self, platform):
+        # Guards against a gateway that goes on with stale state because all
+        # exceptions of its tasks are passed over.
+        await platform.add_target()
+        await platform.publish()
+        await platform.start()
+
+        async def fail() -> None:
+            raise KeyError('unexpected')
+
+        platform.gateway._start(fail())
+        await platform.until(platform.running.done)
+
+    async def test_name_above_the_bound_leaves_the_old_manifest(
+        self, platform
+    ):
+        # Guards against a name that no bound allows and that ends a gateway.
+        await platform.add_target()
+        await platform.publish()
+        await platform.start()
+        name = 'n' * (names.MAX_TEXT_LENGTH + 1)
+        platform.tenants = [{'name': name, 'api_keys': ['key']}]
+        await platform.publish()
+        counters = platform.gateway.board.counters
+        await platform.until(lambda: counters['skipped_records'] > 0)
+        assert platform.gateway.board.manifest.version == 1
+        await _assert_serves(platform)
