--- a/tests/adapter/rollout_parts.py
+++ b/tests/adapter/rollout_parts.py
@@ -121,6 +121,19 @@
             await asyncio.sleep(0.005)
 
 
+async def until_state(
+    platform, expected: str, timeout_s: float = 20.0
+) -> None:
+    """Wait until a state is published; an error bears all decisions."""
+    try:
+        await until(lambda: state(platform) == expected, timeout_s)
+    except TimeoutError as error:
+        error.add_note(f'published: {status(platform)}')
+        for decision in decisions(platform):
+            error.add_note(f'decided: {decision}')
+        raise
+
+
 async def start(
     platform, gateways: int = 4, zones: str = 'abc', settings=None, **new
 ):
