Let the soak ask for long work, and close behind a late response

A fifth of the requests of the callers that send ahead now take 0.3 to 1.8 s, where the target latency is 0.3 s.

A caller that gives a response up now closes the connection, and a request behind it counts as given up by its caller.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -14,6 +14,10 @@
 # Callers that send requests before the earlier ones are answered.
 SEND_AHEAD_COUNT = 4
 OUTSTANDING_REQUESTS = 2
+# Service time of some of their requests: up to six target latencies, as a
+# stop that estimates it by the target latency cuts longer ones.
+LONG_WORK_S = (0.3, 1.8)
+LONG_WORK_SHARE = 0.2
 # Pause of such a caller after a request that was not served.
 REFUSED_PAUSE_S = 0.02
 # Relative frequency of the kinds of requests.
@@ -202,7 +206,7 @@
                 continue
             await asyncio.gather(
                 *(
-                    self._send_ahead(gateway, connection)
+                    self._send_ahead(gateway, connection, rng)
                     for _ in range(OUTSTANDING_REQUESTS)
                 )
             )
@@ -212,10 +216,14 @@
         self,
         gateway: gateways.Gateway,
         connection: connections.CallerConnection,
+        rng: random.Random,
     ) -> None:
         while not self.stopping and connection.is_open:
+            work_s = 0.0
+            if rng.random() < LONG_WORK_SHARE:
+                work_s = rng.uniform(*LONG_WORK_S)
             attempt = self.cluster.new_attempt(
-                gateway, 'safe', b'', SMALL_RESPONSE_BYTES[0]
+                gateway, 'safe', b'', SMALL_RESPONSE_BYTES[0], work_s
             )
             await connection.exchange(
                 attempt, cluster.HOST, connections.Pace()
--- a/tests/soak/cluster.py
+++ b/tests/soak/cluster.py
@@ -13,6 +13,7 @@
 from tests.soak import connections
 from tests.soak import gateways
 from tests.soak import history as history_types
+from tests.soak import targets
 
 SERVICES = ('casebook', 'grantdesk')
 HOST = 'app.example'
@@ -57,7 +58,7 @@
         self.rng = random.Random(seed)
         self.store = emulator.EmulatedStore()
         self.gateways: list[gateways.Gateway] = []
-        self.targets: list[emulator.EmulatedTarget] = []
+        self.targets: list[targets.SoakTarget] = []
         self.relays: dict[str, relay_types.Relay] = {}
 
     def now(self) -> float:
@@ -69,7 +70,7 @@
         await self.store.start()
         for service in SERVICES:
             for number in range(4):
-                target = emulator.EmulatedTarget(
+                target = targets.SoakTarget(
                     service, gateways.ZONES[number % 2], slots=4, work_s=0.02
                 )
                 await target.start()
@@ -152,17 +153,19 @@
         kind: str,
         body: bytes,
         response_bytes: int,
+        work_s: float = 0.0,
     ) -> history_types.CallerAttempt:
         """Record a request that is about to be sent.
 
         :param response_bytes: size of the response body that targets send.
+        :param work_s: service time in seconds; 0 for that of its target.
         """
         number = len(self.history.attempts)
         attempt = history_types.CallerAttempt(
             f'{self.seed}-{number}',
             kind,
             guarantees.method_of(kind),
-            f'/{kind}/{number}?bytes={response_bytes}',
+            targets.path_of(kind, number, response_bytes, work_s),
             body,
             gateway.name,
             self.now(),
--- a/tests/soak/connections.py
+++ b/tests/soak/connections.py
@@ -42,6 +42,8 @@
         self.reader = reader
         self.writer = writer
         self.reusable = True
+        # A response that is late would be taken for that of the next request.
+        self._response_is_late = False
         self._receiving = asyncio.Lock()
 
     @classmethod
@@ -78,9 +80,14 @@
                 asyncio.timeout_at(attempt.sent_at + limit_s),
                 self._receiving,
             ):
-                await self._receive(attempt, pace)
-        except (*_FAILURES, TimeoutError):
+                attempt.given_up = self._response_is_late
+                if not attempt.given_up:
+                    await self._receive(attempt, pace)
+        except _FAILURES as error:
             self.reusable = False
+            if isinstance(error, TimeoutError):
+                self._response_is_late = True
+                self.close()
         attempt.finished_at = loop.time()
         if not sending.done():
             # The response came before the request was sent completely.
--- a/tests/soak/history.py
+++ b/tests/soak/history.py
@@ -66,6 +66,8 @@
     :param route_timeout_s: timeout of its route.
     :param sent_behind: whether it was sent behind another one that had no
         response, on the same connection.
+    :param given_up: whether its caller closed the connection because the
+        response before it did not arrive in time.
     :param written_at: when its last byte was written to a connection on which
         the caller had seen no close; infinite if that did not happen.
     :param head_at: when the head of its response arrived.
@@ -74,6 +76,7 @@
     caller_timeout_s: float = float('inf')
     route_timeout_s: float = float('inf')
     sent_behind: bool = False
+    given_up: bool = False
     written_at: float = float('inf')
     head_at: float = float('inf')
 
--- a/tests/soak/lost_requests.py
+++ b/tests/soak/lost_requests.py
@@ -69,6 +69,7 @@
     ) -> bool:
         return (
             _reached_timeout(attempt)
+            or attempt.given_up
             or any(run.broke_off for run in runs)
             or (not runs and self._was_absent(attempt))
             # The response before it may have closed the connection.
--- a/tests/test_soak_lost_requests.py
+++ b/tests/test_soak_lost_requests.py
@@ -96,6 +96,9 @@
 
         assert bool(_find(attempt, [], history)) is lost
 
+    def test_request_whose_caller_closed_the_connection_is_not_lost(self):
+        assert not _find(_attempt(given_up=True), [_run()])
+
     def test_request_that_was_not_written_whole_is_not_lost(self):
         assert not _find(_attempt(written_at=float('inf')), [])
 
