Read the store while updates of the feeds fail

An update that fails each time was passed over each time: the gateway no longer chose whom to copy from.

A failed update now lets the gateway read the store itself. Reads do not depend on the other gateways, and the next update that succeeds ends them.

The mutation that takes the line out makes the test fail.

--- a/packages/entry/src/dragonflyslip_entry/gateway/feeds.py
+++ b/packages/entry/src/dragonflyslip_entry/gateway/feeds.py
@@ -166,6 +166,8 @@
             self._update(now)
         except Exception as error:
             self._record_fault(error, 'update')
+            # Nothing is known of the providers, which may have ended.
+            self._must_read.set()
 
     def _update(self, now: float) -> None:
         for feed in self.feeds.values():
--- a/tests/adapter/test_relays.py
+++ b/tests/adapter/test_relays.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import operator
 
 import pytest
 
@@ -176,6 +177,30 @@
         left = [g for n, g in enumerate(gateways) if n not in lost]
         await _wait_until_in_force(platform, left)
 
+    @pytest.mark.parametrize(
+        ('owner', 'step'),
+        [
+            ('feeds', '_update'),
+            ('feeds.relay', 'update'),
+            ('feeds.registry', 'expire'),
+        ],
+    )
+    async def test_change_is_in_force_where_each_update_fails(
+        self, platform, owner, step
+    ):
+        # Guards against a gateway that stays ready with an old manifest
+        # because it no longer chooses whom to copy from.
+        gateways = await _start(platform, 4)
+
+        def fail(*arguments) -> None:
+            raise KeyError('unexpected')
+
+        failing = gateways[3]
+        setattr(operator.attrgetter(owner)(failing), step, fail)
+        for provider in gateways[:2]:
+            await platform.stop(provider)
+        await _wait_until_in_force(platform, [failing])
+
     @pytest.mark.parametrize('lost', [[0], [0, 1]])
     async def test_change_is_in_force_though_providers_are_silent(
         self, platform, lost
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -879,6 +879,14 @@
         'pass',
         'tests/adapter/test_lost_responses.py',
     ),
+    Mutation(
+        'failing-updates-keep-old-providers',
+        f'{_GATEWAY}/feeds.py',
+        'self._must_read.set()\n\n    def _update',
+        'pass\n\n    def _update',
+        f'{_RELAY_TESTS}::TestProviderFaults'
+        '::test_change_is_in_force_where_each_update_fails',
+    ),
     Mutation(
         'gateway-fixed-read-time',
         f'{_CORE}/transfers.py',
