Move the tests of failing providers to a file of their own

TestProviderFaults moves to test_provider_faults.py, and what both files share to relay_parts.py; names lose their underscore, nothing else changes: 41 test functions and parametrizations before and after, and the same lines with an assertion or a wait.

--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -41,6 +41,7 @@
 _FAULT_TESTS = 'tests/adapter/test_gateway_faults.py'
 _TOPOLOGY_TESTS = 'tests/adapter/test_topology.py'
 _RELAY_TESTS = 'tests/adapter/test_relays.py'
+_PROVIDER_TESTS = 'tests/adapter/test_provider_faults.py'
 _ERA_TESTS = 'tests/adapter/test_eras.py'
 _ERA_STORE_TESTS = 'tests/adapter/test_store_eras.py'
 _SLOW_LINK_TESTS = 'tests/adapter/test_slow_links.py'
@@ -884,7 +885,7 @@
         f'{_GATEWAY}/feeds.py',
         'self._must_read.set()\n\n    def _update',
         'pass\n\n    def _update',
-        f'{_RELAY_TESTS}::TestProviderFaults'
+        f'{_PROVIDER_TESTS}::TestProviderFaults'
         '::test_change_is_in_force_where_each_update_fails',
     ),
     Mutation(
@@ -929,7 +930,7 @@
         '            return read_at',
         'if heard_at < self.begun_at and now <= self.due_at + 0.4:\n'
         '            return now',
-        f'{_RELAY_TESTS}::TestProviderFaults',
+        f'{_PROVIDER_TESTS}::TestProviderFaults',
     ),
     Mutation(
         'gateway-arriving-change',
@@ -1111,14 +1112,14 @@
         f'{_CORE}/providers.py',
         '_lasted(self._none_since, delay_s, now)',
         'False',
-        _RELAY_TESTS,
+        _PROVIDER_TESTS,
     ),
     Mutation(
         'gateway-stale-provider',
         f'{_GATEWAY}/relay.py',
         'provider_link.age_s(name, now) <= provider_types.FRESH_S',
         'True',
-        _RELAY_TESTS,
+        _PROVIDER_TESTS,
     ),
     Mutation(
         'gateway-replaced-provider',
